--- /dev/null
+++ b/decide/api.go
@@ -0,0 +1,226 @@
+// Package decide makes the decisions of a load balancer for services that call
+// services: whom to admit, which server to ask, when to try again.
+//
+// A node creates one Balancer, hands it every event with the present time, and
+// carries out the actions it gets back. The package does no I/O, reads no
+// clock and starts no goroutine.
+package decide
+
+import "time"
+
+// Effect says whether a request may run more than once.
+type Effect int
+
+// The three effects.
+const (
+	Repeatable Effect = iota // safe to repeat
+	Keyed                    // repeats are dropped inside a group of servers, for a time
+	Once                     // must never run twice
+)
+
+// Group is the set of servers that drop repeats of a keyed request.
+type Group int
+
+// The three groups.
+const (
+	GroupAll Group = iota
+	GroupZone
+	GroupCell
+)
+
+// Class describes one class of requests.
+type Class struct {
+	Aim        time.Duration // an answer within it earns the full worth
+	AimStretch float64       // the aim grows by this multiple of the request's own work
+	Deadline   time.Duration // the client's wait over all of its tries
+	Worth      float64
+	LateWorth  float64 // part of the worth left after the aim
+	Effect     Effect
+	Group      Group         // Keyed: who drops repeats
+	KeyTTL     time.Duration // Keyed: for how long, from the first send that may have run
+}
+
+// Weights says what a Server's Weight holds.
+type Weights int
+
+// The kinds of weight.
+const (
+	WeightsNone    Weights = iota // always 1
+	WeightsNominal                // the registered size
+	WeightsRough                  // the size, give or take
+	WeightsLive                   // the size divided by 1 + calls held a core, some time ago
+)
+
+// Tenant is one of those who share the service.
+type Tenant struct {
+	Quota float64 // requests a second over all nodes within its share; 0: not told
+	Share float64 // part of the service
+}
+
+// Prices are taken off the result, each times its share or rate.
+type Prices struct {
+	CrossZone float64 // attempts that cross zones, a first try
+	Handshake float64 // new connections, a first try
+	Probe     float64 // probes, a first try
+	Waste     float64 // work that served no answer, as a part of all work offered
+	LateFail  float64 // worth that ended unserved after its aim
+}
+
+// Goal weighs the parts of the result.
+type Goal struct {
+	Whole, WorstWindow, WorstClass, WorstTenant float64
+	Nines                                       float64 // tenfold steps of the worth not served ...
+	NinesFull                                   float64 // ... and how many of them earn it in full
+}
+
+// Settings are the facts a node is told at its start; what is absent is zero. Settings that make no sense do
+// not panic and break no rule: less than one node counts as one, a negative wait as none, and without a class
+// every request fails.
+type Settings struct {
+	Node, Nodes     int // this node's number among the nodes of its tier
+	Tier, Tiers     int // tier 0: front proxy
+	Zone            string
+	Zones           int
+	Classes         []Class
+	Tenants         []Tenant
+	OverShareWorth  float64 // worth of a request over its tenant's share
+	ByWork          bool    // worth is counted by work, not by request
+	Weights         Weights
+	MustAsk         bool // the list of servers comes only when asked for
+	AskWithin       time.Duration
+	DrainGrace      time.Duration // sends to a draining server must have ended after this
+	ColdFrom        float64       // a started server has at least this part of its capacity
+	ColdFor         time.Duration
+	FallMultiple    float64 // sent this multiple of its present capacity ...
+	FallFor         time.Duration
+	AnswerGrace     time.Duration // a final answer still counts this long after the deadline
+	Tick            time.Duration // events come no closer together
+	MarksRepeats    bool          // clients mark their repeats
+	PassesDeadline  bool          // a call to the next tier carries the time that its caller has left
+	Prices          Prices
+	Goal            Goal
+	MaxTries        int
+	MaxHeld         int // requests that a node can have open; 0: not told
+	MaxRetryAfter   time.Duration
+	ConnIdle        time.Duration // idle connections are closed after this
+	ConnectTimeout  time.Duration
+	Streams         int // attempts that one connection carries at once
+	MayCancel       bool
+	MayProbe        bool
+	MaySecondCopy   bool
+	MayAdviseReturn bool // refusals may carry a retry-after
+}
+
+// Change says how a list of servers relates to the one before.
+type Change int
+
+// The kinds of list.
+const (
+	ListDiff   Change = iota // changed entries only
+	ListFull                 // complete: what is missing is gone
+	ListStored               // complete, as the node last held it; perhaps old
+	ListFailed               // a call for the list failed, or the watch was lost
+)
+
+// Health is a server's state in the list.
+type Health int
+
+// The states.
+const (
+	Healthy Health = iota
+	Draining
+	Removed
+)
+
+// Server is one entry of the list of servers.
+type Server struct {
+	ID      string
+	Zone    string
+	Cell    int
+	Health  Health
+	Weight  float64       // relative size; 0 counts as 1
+	Started time.Duration // the time of its start; 0: long ago
+}
+
+// Members brings word of the servers.
+type Members struct {
+	Change  Change
+	Servers []Server
+}
+
+// Request is a call that this node must now answer once.
+type Request struct {
+	ID     uint64
+	Class  int           // index into Settings.Classes
+	Tenant int           // index into Settings.Tenants; -1: none
+	TTL    time.Duration // what is left until the caller gives up
+	Work   time.Duration // expected work; 0: unknown
+	Repeat bool          // known to be a client's retry
+}
+
+// Result is how an attempt ended.
+type Result int
+
+// The results; Full, Unconnected and NotSent prove that nothing ran.
+const (
+	Served Result = iota
+	Errored
+	Full        // rejected unseen
+	TimedOut    // no answer in time
+	Unconnected // no connection
+	Broken      // connection lost while waiting
+	Cancelled
+	NotSent
+)
+
+// Outcome ends one attempt.
+type Outcome struct {
+	Request uint64
+	Attempt int
+	Server  string
+	Result  Result
+	Elapsed time.Duration // since the send
+	Final   bool          // the request is finished
+}
+
+// Probed ends one probe.
+type Probed struct {
+	Server  string
+	Result  Result
+	Elapsed time.Duration
+}
+
+// Timer is a due After.
+type Timer struct{ Token uint64 }
+
+// Gone says that a request's client has left.
+type Gone struct{ Request uint64 }
+
+// Kind names an action.
+type Kind int
+
+// The actions and the fields of Action that each uses.
+const (
+	Send    Kind = iota // Request, Server, Wait (time-out of the attempt)
+	Refuse              // Request, Wait (retry-after; 0: no advice)
+	Fail                // Request
+	Cancel              // Request, Attempt
+	Probe               // Server
+	Watch               // ask for changes of the list from now on
+	Unwatch             // ask for no more changes
+	HangUp              // Server: close the idle connections to it
+	Fetch               // ask for the whole list once
+	After               // Token, Wait
+	Log                 // Text
+)
+
+// Action is something the node must do.
+type Action struct {
+	Kind    Kind
+	Request uint64
+	Attempt int
+	Server  string
+	Wait    time.Duration
+	Token   uint64
+	Text    string
+}
--- /dev/null
+++ b/decide/decide.go
@@ -0,0 +1,912 @@
+// The decisions of milletrail; its interface stands in decide/api.go.
+package decide
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	curveTop     = 1.0                    // r, in aims, at which even the highest worth is shut out
+	curveFoot    = 0.6                    // r, in aims, below which the lowest worth is let in whole
+	period       = 200 * time.Millisecond // between two readings of r
+	tierCrowd    = 2                      // calls a server, for each tier on, that are surely no crowd
+	repeatWorth  = 0.9                    // a client's repeat stands a step below a first try
+	crowdMemory  = 8                      // arrivals over which the calls here are averaged
+	rareGap      = 4                      // power of the rest of the traffic by which a curve stands off
+	mixMemory    = 64                     // arrivals over which the shares of the levels are averaged
+	crowdTop     = 2                      // crowding at which even the highest worth is shut out
+	roomGrowth   = 0.15                   // a second, of the servers that count as room
+	countMemory  = 24                     // the same for r
+	subsetFront  = 8                      // servers a front node keeps to, and nodes that know each
+	subsetInner  = 5                      // the same below: more of a node's calls on each
+	nearPart     = 0.75                   // part of the subset that lies in the own zone
+	retryRate    = 0.2                    // retry budget: attempts earned by each first try
+	retryBurst   = 10
+	usualTimes   = 4                      // mean response times: all answers but few come sooner
+	usualLeast   = 0.1                    // aims that the mean is taken to be, at the least
+	gapLeast     = 100 * time.Millisecond // connections idle for less are never in question
+	gapSpans     = 8                      // spans of idle time told apart, each double the one before
+	gapMemory    = 10 * time.Second       // over which what became of sends after such idle times is kept
+	gapProof     = 2                      // lost sends that prove it, where they outnumber the answered
+	unmadeMost   = 0.1                    // part of attempts unconnected, above which made ones are sought
+	unmadeMemory = 32                     // attempts over which that part is averaged
+	ejectAfter   = 3                      // failures in a row that take a server out
+	ejectFor     = time.Second            // doubled with each further ejection
+	holdStep     = 10 * time.Millisecond  // wait before looking again for a server
+	askStep      = 250 * time.Millisecond // first wait before asking for the list again
+	coldSafety   = 0.5                    // part of the cold budget that is used at all
+	rateMemory   = 5 * time.Second        // how slowly the send rate is followed
+	lateGain     = 0.25                   // weight of the newest response time of a server
+	lateMemory   = 2 * time.Second        // after which a server's slowness is mostly forgotten
+	askToken     = 1 << 62                // timer that asks for the list; others carry a request's id
+)
+
+// health tells whether something may be sent to: one server, or a zone as seen from here.
+type health struct {
+	inflight int
+	fails    int // in a row
+	ejects   int // ejections since it last served
+	outUntil time.Duration
+}
+
+// fail counts a failure, and ejects after some in a row, each time for longer.
+func (h *health) fail(now time.Duration, after int) {
+	h.fails++
+	if h.fails >= after {
+		h.outUntil = now + ejectFor<<min(h.ejects, 3)
+		h.fails = after - 1 // one more failure afterwards is enough
+		h.ejects++
+	}
+}
+
+// served clears what was held against it.
+func (h *health) served() { h.fails, h.ejects, h.outUntil = 0, 0, 0 }
+
+// out tells whether to keep away. After an ejection there is one call at a time until it has served one:
+// what hangs would else swallow a full share of calls at each return.
+func (h *health) out(now time.Duration) bool {
+	return h.outUntil > now || h.ejects > 0 && h.inflight > 0
+}
+
+// idling counts what became of sends on connections that had idled for about as long.
+type idling struct{ lost, answered float64 }
+
+// zone is what a node knows of a zone.
+type zone struct {
+	health
+	members int // of the subset
+}
+
+// server is one server as this node sees it.
+type server struct {
+	Server
+	health
+	zone   *zone
+	rank   uint64 // place on the ring
+	weight float64
+	late   float64       // response time against that of all servers, beyond what its size says ...
+	lateAt time.Duration // ... as of this time
+	tokens float64       // sends it may get while cold
+	filled time.Duration
+	idle   []time.Duration // since when its idle connections have been so; the last is used first
+	seen   bool
+	near   bool
+}
+
+// attempt is one send of a request.
+type attempt struct {
+	server  *server
+	sent    time.Duration
+	due     time.Duration // when an answer is out of the usual
+	span    int           // of the idle time of its connection; -1: none to speak of
+	overdue bool
+	done    bool
+	result  Result // once done
+}
+
+// call is a request that still needs its final answer.
+type call struct {
+	Request
+	arrived, until time.Duration // until: when an answer stops being of use
+	attempts       []attempt
+	open           int           // attempts without an outcome
+	ran            bool          // an attempt may have run ...
+	ranAt          time.Duration // ... sent first at this time ...
+	ranOn          *server       // ... to this server
+}
+
+// tenant meters one tenant's traffic against its share.
+type tenant struct {
+	tokens float64
+	filled time.Duration
+}
+
+// Balancer decides for one node.
+type Balancer struct {
+	set     Settings
+	rng     *rand.Rand
+	now     time.Duration
+	out     []Action
+	servers map[string]*server
+	members []*server // all that may be sent to, in the ring's order
+	near    []*server // the subset: own zone
+	far     []*server // the subset: other zones
+	scratch []*server
+	zones   map[string]*zone
+	calls   map[uint64]*call
+	tenants []tenant
+	levels  []float64 // distinct worths, ascending
+	offered []float64 // arrivals on each, of late
+
+	r            float64 // smoothed response time in units of the aim
+	sum          float64 // time that calls spent here this period, in aims
+	outcomes     float64 // in all
+	room         float64 // calls that a server holds without a crowd
+	crowd        float64 // calls here, averaged over arrivals
+	known        float64 // servers that count as room
+	limited      bool    // crowding made for a refusal this period
+	held         float64 // calls here now, each as one over its aim
+	count        float64
+	periodEnd    time.Duration
+	rate         float64 // answers a second, smoothed
+	rateAt       time.Duration
+	retries      float64
+	gaps         [gapSpans]idling
+	stale        int     // the span from which connections are dead; gapSpans: none
+	unmade       float64 // part of the attempts that found no connection
+	late, weight float64 // mean response time of attempts in aims; mean weight of the members
+	asking       bool
+	watching     bool
+	askTries     int
+	longest      []time.Duration // largest TTL seen, by class
+}
+
+// New returns the decisions of a node that starts now.
+func New(set Settings, seed uint64, now time.Duration) *Balancer {
+	b := &Balancer{
+		set:       set,
+		rng:       rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
+		now:       now,
+		servers:   map[string]*server{},
+		calls:     map[uint64]*call{},
+		zones:     map[string]*zone{},
+		tenants:   make([]tenant, len(set.Tenants)),
+		longest:   make([]time.Duration, len(set.Classes)),
+		periodEnd: now + period,
+		rateAt:    now,
+		retries:   retryBurst,
+		stale:     gapSpans,
+	}
+	for _, c := range set.Classes {
+		b.levels = append(b.levels, c.Worth)
+	}
+	if set.MarksRepeats {
+		b.stack(repeatWorth)
+	}
+	if len(set.Tenants) > 0 {
+		b.stack(set.OverShareWorth)
+	}
+	// A server also holds the calls that wait for the tiers below.
+	b.room = float64(1 + tierCrowd*max(2, set.Tiers-set.Tier))
+	slices.Sort(b.levels)
+	b.levels = slices.Compact(b.levels)
+	b.offered = slices.Repeat([]float64{mixMemory / float64(max(1, len(b.levels)))}, len(b.levels))
+	return b
+}
+
+// stack adds to the levels each of them times some share.
+func (b *Balancer) stack(share float64) {
+	for _, worth := range b.levels {
+		b.levels = append(b.levels, worth*share)
+	}
+}
+
+// begin takes an event's time and buffer; every handler calls it first.
+func (b *Balancer) begin(now time.Duration, out []Action) {
+	b.sum += b.held * float64(now-b.now)
+	b.now, b.out = now, out
+	if now < b.periodEnd {
+		return
+	}
+	// A period without outcomes keeps r; few move it little, lest one slow answer shut a node that sees few.
+	if b.count > 0 {
+		b.r += (b.sum/b.count - b.r) * b.count / (b.count + min(countMemory, b.outcomes))
+		b.outcomes += b.count
+	}
+	b.widen()
+	for i := range b.gaps {
+		b.gaps[i].lost *= 1 - float64(period)/float64(gapMemory)
+		b.gaps[i].answered *= 1 - float64(period)/float64(gapMemory)
+	}
+	b.sum, b.count = 0, 0
+	b.periodEnd = now + period
+}
+
+// widen lets servers that were added count as room while calls are refused and r does not say overload.
+func (b *Balancer) widen() {
+	if n := float64(len(b.members)); b.limited && b.known < n && b.r < curveFoot {
+		b.known = min(b.known*(1+roomGrowth*period.Seconds()), n)
+	}
+	b.limited = false
+}
+
+func (b *Balancer) act(a Action) { b.out = append(b.out, a) }
+
+// Members takes word of the servers.
+func (b *Balancer) Members(now time.Duration, m Members, out []Action) []Action {
+	b.begin(now, out)
+	if b.set.MustAsk {
+		b.follow(m.Change)
+	}
+	if m.Change == ListFailed {
+		return b.out
+	}
+	for _, s := range b.servers {
+		s.seen = m.Change == ListDiff
+	}
+	for _, e := range m.Servers {
+		s := b.servers[e.ID]
+		if s == nil {
+			s = &server{rank: hash(e.ID), zone: b.zone(e.Zone)}
+			b.servers[e.ID] = s
+		}
+		if e.Started > s.Started { // a new process: what was held against the old one is void
+			s.served()
+			s.idle = nil
+			s.late, s.tokens, s.filled = 0, b.rng.Float64(), now
+		}
+		s.Server, s.seen, s.near, s.weight = e, true, e.Zone == b.set.Zone, e.Weight
+		if s.weight <= 0 {
+			s.weight = 1
+		}
+	}
+	b.members = b.members[:0]
+	for id, s := range b.servers {
+		if !s.seen {
+			s.Health = Removed
+		}
+		if s.Health == Healthy {
+			b.members = append(b.members, s)
+		} else if s.Health == Removed && s.inflight == 0 {
+			delete(b.servers, id)
+		}
+	}
+	b.choose()
+	return b.out
+}
+
+// zone returns what is known of a zone.
+func (b *Balancer) zone(name string) *zone {
+	z := b.zones[name]
+	if z == nil {
+		z = &zone{}
+		b.zones[name] = z
+	}
+	return z
+}
+
+// hash places a server on the ring that all nodes share.
+func hash(id string) uint64 {
+	h := uint64(14695981039346656037)
+	for i := 0; i < len(id); i++ {
+		h = (h ^ uint64(id[i])) * 1099511628211
+	}
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	return h ^ h>>29
+}
+
+// choose draws the subset: a stretch of the ring, mostly of the own zone. The nodes' stretches start evenly
+// along it: were each drawn for itself, chance would let twice as many nodes know one server as another.
+func (b *Balancer) choose() {
+	slices.SortFunc(b.members, func(x, y *server) int {
+		return cmp.Or(cmp.Compare(x.rank, y.rank), cmp.Compare(x.ID, y.ID))
+	})
+	size := subsetFront
+	if b.set.Tier > 0 {
+		size = subsetInner
+	}
+	size = min(max(size, size*len(b.members)/max(1, b.set.Nodes)), len(b.members))
+	b.near, b.far, b.weight = b.near[:0], b.far[:0], 0
+	for _, s := range b.members {
+		b.weight += s.weight / float64(len(b.members))
+		if s.near {
+			b.near = append(b.near, s)
+		} else {
+			b.far = append(b.far, s)
+		}
+	}
+	// A fleet that has grown is no proof of room: the tier below may be the one that is short. Room follows
+	// as long as r stays calm.
+	if b.known == 0 {
+		b.known = float64(len(b.members))
+	}
+	nears := min(len(b.near), max(int(math.Ceil(nearPart*float64(size))), size-len(b.far)))
+	b.near = b.stretch(b.near, nears)
+	b.far = b.stretch(b.far, size-nears)
+	for _, z := range b.zones {
+		z.members = 0
+	}
+	for i := range len(b.near) + len(b.far) {
+		b.subset(i).zone.members++
+	}
+}
+
+// stretch keeps n members of a ring, from this node's start; the golden ratio spreads all numbers evenly.
+func (b *Balancer) stretch(ring []*server, n int) []*server {
+	_, at := math.Modf(float64(max(0, b.set.Node)) * math.Phi)
+	start := int(at * float64(len(ring)))
+	b.scratch = append(append(b.scratch[:0], ring[start:]...), ring[:start]...)
+	return append(ring[:0], b.scratch[:n]...)
+}
+
+// jitter takes up to half off a wait.
+func (b *Balancer) jitter(wait time.Duration) time.Duration {
+	return time.Duration((0.5 + b.rng.Float64()/2) * float64(wait))
+}
+
+// follow keeps a watch on a list that comes only when asked for, and asks again with back-off and jitter.
+func (b *Balancer) follow(c Change) {
+	b.asking, b.watching = false, c == ListDiff || c == ListFull
+	wait := max(holdStep, min(askStep<<min(b.askTries, 8), b.set.AskWithin/2))
+	if b.watching {
+		b.askTries = 0
+		return
+	}
+	b.askTries++
+	b.act(Action{Kind: After, Token: askToken, Wait: b.jitter(wait)})
+}
+
+// Request takes a new call: a verdict at the front, then a server. A call of an unknown class fails, one told
+// twice is passed over, an unknown tenant counts as none.
+func (b *Balancer) Request(now time.Duration, r Request, out []Action) []Action {
+	b.begin(now, out)
+	if b.calls[r.ID] != nil {
+		return b.out // told twice
+	}
+	if r.Class < 0 || r.Class >= len(b.set.Classes) {
+		b.act(Action{Kind: Fail, Request: r.ID})
+		return b.out
+	}
+	class := &b.set.Classes[r.Class]
+	worth := class.Worth
+	if r.Tenant >= 0 && r.Tenant < len(b.tenants) && !b.withinShare(r.Tenant) {
+		worth *= b.set.OverShareWorth
+	}
+	if r.Repeat { // part of its aim is gone, and refused clients would crowd out the first tries
+		worth *= repeatWorth
+	}
+	c := &call{Request: r, arrived: now, until: now + r.TTL}
+	aimLeft := b.aimLeft(&r)
+	if b.set.Tier == 0 && class.LateWorth == 0 {
+		// An answer past the aim is worth nothing: stop before it, and spare the servers.
+		if aimLeft <= b.set.AnswerGrace {
+			worth = 0
+		} else {
+			c.until = min(c.until, now+aimLeft-b.set.AnswerGrace)
+		}
+	}
+	for i := range b.offered {
+		b.offered[i] *= 1 - 1.0/mixMemory
+	}
+	b.offered[b.level(worth)]++
+	b.crowd += (float64(len(b.calls)) - b.crowd) / crowdMemory
+	if b.set.Tier == 0 && len(b.calls) > 0 && b.rng.Float64() >= b.admits(worth) {
+		b.limited = b.limited || b.crowding() > 1
+		b.act(Action{Kind: Refuse, Request: r.ID, Wait: b.retryAfter(aimLeft)})
+		return b.out
+	}
+	b.calls[r.ID] = c
+	b.held += 1 / float64(max(1, b.aim(&r)))
+	b.retries = min(b.retries+retryRate, retryBurst)
+	b.send(c)
+	return b.out
+}
+
+// aim is the time within which a request earns its full worth.
+func (b *Balancer) aim(r *Request) time.Duration {
+	class := &b.set.Classes[r.Class]
+	return min(class.Aim+time.Duration(class.AimStretch*float64(r.Work)), class.Deadline)
+}
+
+// aimLeft is what remains of the aim. A try with less time than others of its class is a later one, cut
+// by the client's deadline, and that tells how long the client has waited.
+func (b *Balancer) aimLeft(r *Request) time.Duration {
+	b.longest[r.Class] = max(b.longest[r.Class], r.TTL)
+	left := b.aim(r)
+	if r.TTL < b.longest[r.Class]*49/50 {
+		left -= b.set.Classes[r.Class].Deadline - r.TTL
+	}
+	return left
+}
+
+// admits is the paper's P(a,b) for the curve of this worth: one below a, zero above b, linear between.
+// The curves are stacked, so that a lower worth is shut out before a higher one starts to be refused.
+func (b *Balancer) admits(worth float64) float64 {
+	level := b.level(worth)
+	width := 1 / float64(len(b.levels))
+	lo := width * float64(level)
+	if worth < b.levels[0] { // a request worth nothing any more: below all others
+		lo -= width
+	} else if level > 0 {
+		lo += math.Pow(1-b.share(level), rareGap)
+	}
+	return curve(b.pressure(), lo, lo+width)
+}
+
+// level is the place of a worth on the stack.
+func (b *Balancer) level(worth float64) int {
+	at, _ := slices.BinarySearch(b.levels, worth)
+	return min(at, len(b.levels)-1)
+}
+
+// share is the part of the traffic that lies on a level or above.
+func (b *Balancer) share(level int) float64 {
+	above, all := 0.0, 0.0
+	for i, n := range b.offered {
+		all += n
+		if i >= level {
+			above += n
+		}
+	}
+	return above / all
+}
+
+// pressure says where on the stack of curves this node stands: 0 at its foot, 1 at its top. It is what r
+// says, or what the calls here say where that is more: some servers turn slow at once when they hold too
+// many, long before response times have risen.
+func (b *Balancer) pressure() float64 {
+	return max((b.r-curveFoot)/(curveTop-curveFoot), (b.crowding()-1)/(crowdTop-1))
+}
+
+// crowding is the number of calls here against what this node's part of the servers holds without a crowd.
+// Servers that are ejected are no room: the others would else be crowded in their place. A node's few calls
+// vary by chance, while the servers see the sum over nodes: so the calls are averaged over some arrivals,
+// and what chance leaves of that is no crowd.
+func (b *Balancer) crowding() float64 {
+	in, all := 0, len(b.near)+len(b.far)
+	for i := range all {
+		if s := b.subset(i); s.ejects == 0 && s.zone.ejects == 0 {
+			in++
+		}
+	}
+	room := b.room * min(float64(len(b.members)), b.known) / float64(max(1, b.set.Nodes))
+	room *= float64(in) / float64(max(1, all))
+	return b.crowd / max(1, room+math.Sqrt(room)/2)
+}
+
+// subset returns the i-th server of the subset.
+func (b *Balancer) subset(i int) *server {
+	if i < len(b.near) {
+		return b.near[i]
+	}
+	return b.far[i-len(b.near)]
+}
+
+// curve is (b-r)/(b-a) between a and b; the paper prints (r-a)/(b-a), which would rise with r.
+func curve(r, a, b float64) float64 {
+	if r <= a {
+		return 1
+	}
+	if r >= b {
+		return 0
+	}
+	return (b - r) / (b - a)
+}
+
+// retryAfter spreads the return of refused clients.
+func (b *Balancer) retryAfter(aimLeft time.Duration) time.Duration {
+	if !b.set.MayAdviseReturn {
+		return 0
+	}
+	wait := max(0, b.set.MaxRetryAfter)
+	if aimLeft > 0 {
+		wait = min(wait, aimLeft/2)
+	}
+	return b.jitter(wait)
+}
+
+// withinShare meters a tenant's request by a token bucket of one second of its quota.
+func (b *Balancer) withinShare(i int) bool {
+	t := &b.tenants[i]
+	q := b.set.Tenants[i].Quota / float64(max(1, b.set.Nodes))
+	t.tokens = min(t.tokens+q*(b.now-t.filled).Seconds(), max(q, 1))
+	t.filled = b.now
+	if t.tokens < 1 {
+		return false
+	}
+	t.tokens--
+	return true
+}
+
+// send gives a call its next attempt, or holds it until a server may take it.
+func (b *Balancer) send(c *call) {
+	left := c.until - b.now
+	forgotten := c.ran && b.set.Classes[c.Class].Effect == Keyed &&
+		b.now-c.ranAt > b.set.Classes[c.Class].KeyTTL*9/10 // also while it is held
+	if left <= 0 || forgotten {
+		b.end(c)
+		return
+	}
+	s := b.pick(c)
+	if s == nil {
+		if c.open == 0 { // a second copy does not wait
+			b.act(Action{Kind: After, Token: c.ID, Wait: min(holdStep, left)})
+		}
+		return
+	}
+	if b.cold(s) < 1 {
+		s.tokens--
+	}
+	s.inflight++
+	s.zone.inflight++
+	due := b.usually(c)
+	c.attempts = append(c.attempts, attempt{server: s, sent: b.now, due: b.now + due, span: b.connect(s)})
+	c.open++
+	b.act(Action{Kind: Send, Request: c.ID, Server: s.ID, Wait: left})
+	if c.attempts[len(c.attempts)-1].span >= 0 && due < left {
+		b.act(Action{Kind: After, Token: c.ID, Wait: due})
+	}
+}
+
+// connect takes the connection for a send and returns the span of its idle time. Connections that idled for
+// as long as those that proved dead are closed first: a new one costs a handshake, a dead one the request.
+// It acts only while sends after such idle times are lost more often than answered, at whatever servers: one
+// server that hangs does not make it so.
+func (b *Balancer) connect(s *server) int {
+	if len(s.idle) == 0 {
+		return -1
+	}
+	gap := b.now - s.idle[len(s.idle)-1]
+	s.idle = s.idle[:len(s.idle)-1]
+	if b.set.ConnIdle > 0 && gap >= b.set.ConnIdle {
+		s.idle = s.idle[:0] // closed by itself, and so are those that idled for longer
+		return -1
+	}
+	span := -1
+	for d := gapLeast; gap >= d && span < gapSpans-1; d *= 2 {
+		span++
+	}
+	if span >= b.stale {
+		s.idle = s.idle[:0]
+		b.act(Action{Kind: HangUp, Server: s.ID})
+		return -1
+	}
+	return span
+}
+
+// idled books whether a send on an idle connection was lost, and finds the shortest idle time after which
+// they are dead.
+func (b *Balancer) idled(a *attempt, lost bool) {
+	if a.span >= 0 && lost {
+		b.gaps[a.span].lost++
+	} else if a.span >= 0 {
+		b.gaps[a.span].answered++
+	}
+	var sum idling
+	b.stale = gapSpans
+	for i := gapSpans - 1; i >= 0; i-- {
+		g := b.gaps[i]
+		sum.lost, sum.answered = sum.lost+g.lost, sum.answered+g.answered
+		if sum.lost >= gapProof && sum.lost > sum.answered && g.lost > g.answered {
+			b.stale = i
+		}
+	}
+}
+
+// usually is the time that all answers but few take.
+func (b *Balancer) usually(c *call) time.Duration {
+	return time.Duration(usualTimes * max(b.late, usualLeast) * float64(b.aim(&c.Request)))
+}
+
+// overdue looks for attempts that have had no answer in the usual time. One sent on a connection that proves
+// dead hardly reached the server: a second copy goes out where that is harmless, within the retry budget.
+// Copies of what is merely slow cost more than they save: the first goes on running.
+func (b *Balancer) overdue(c *call) {
+	for i := range c.attempts {
+		a := &c.attempts[i]
+		if a.done || a.overdue || b.now < a.due {
+			continue
+		}
+		a.overdue = true
+		if b.idled(a, true); a.span >= b.stale && b.mayCopy(c, a) {
+			b.retries--
+			b.maybeRan(c, a)
+			b.send(c)
+			return
+		}
+	}
+}
+
+// mayCopy tells whether a second copy of an attempt may go out.
+func (b *Balancer) mayCopy(c *call, a *attempt) bool {
+	class := &b.set.Classes[c.Class]
+	since := a.sent
+	if c.ran {
+		since = c.ranAt
+	}
+	return b.set.MaySecondCopy && class.Effect != Once && c.open == 1 && len(c.attempts) < b.set.MaxTries &&
+		b.retries >= 1 && c.until > b.now && (class.Effect != Keyed || b.now-since < class.KeyTTL*9/10)
+}
+
+// maybeRan notes that an attempt may have run.
+func (b *Balancer) maybeRan(c *call, a *attempt) {
+	if !c.ran {
+		c.ran, c.ranAt, c.ranOn = true, a.sent, a.server
+	}
+}
+
+// cold is the part of its capacity that a server surely has; 1 when warm.
+func (b *Balancer) cold(s *server) float64 {
+	age := b.now - s.Started
+	if s.Started == 0 || age >= b.set.ColdFor {
+		return 1
+	}
+	return b.set.ColdFrom + (1-b.set.ColdFrom)*max(0, float64(age)/float64(b.set.ColdFor))
+}
+
+// may tells if a cold server's budget has room. All nodes together may send FallMultiple times what it can
+// do; each takes a fixed part, measured by what its servers answer: sends would count a storm as capacity.
+func (b *Balancer) may(s *server) bool {
+	part := b.cold(s)
+	if part == 1 {
+		return true
+	}
+	subset, members := float64(max(1, len(b.near)+len(b.far))), float64(max(1, len(b.members)))
+	sharing := max(1, float64(b.set.Nodes)*subset/members)
+	rate := max(b.rate/subset*coldSafety*b.set.FallMultiple*part, 1/sharing/b.set.FallFor.Seconds())
+	s.tokens = min(s.tokens+rate*(b.now-s.filled).Seconds(), 1+rate*b.set.FallFor.Seconds()/4)
+	s.filled = b.now
+	return s.tokens >= 1
+}
+
+// pick finds the less loaded of two random members of the subset, and in other zones likewise; the far one
+// is taken where it is idler by farCost. Where half the subset is ejected the fault is hardly the servers',
+// and none of it is trusted.
+func (b *Balancer) pick(c *call) *server {
+	if c.ran && b.set.Classes[c.Class].Effect == Keyed && b.set.Classes[c.Class].Group != GroupAll {
+		if s := b.two(b.usable(c, b.members, true)); s != nil {
+			return s
+		}
+		return b.two(b.usable(c, b.members, false))
+	}
+	out, all := 0, len(b.near)+len(b.far)
+	for i := range all {
+		if s := b.subset(i); s.outUntil > b.now || s.zone.outUntil > b.now {
+			out++
+		}
+	}
+	trust := 2*out < all
+	near := b.two(b.usable(c, b.near, trust))
+	far := b.two(b.usable(c, b.far, trust))
+	if near == nil || far != nil && (b.farCost()*b.load(far) < b.load(near)) {
+		return far
+	}
+	return near
+}
+
+// farCost is how many times as loaded a far server counts. A call of b.late aims saves b.late*(1-1/x) at one
+// x times as idle; an aim saved is taken to be worth a request, and must exceed the price.
+func (b *Balancer) farCost() float64 {
+	return 1 / max(1e-3, 1-b.set.Prices.CrossZone/max(b.late, 1e-6))
+}
+
+// two is the power of two choices.
+func (b *Balancer) two(list []*server) *server {
+	switch len(list) {
+	case 0:
+		return nil
+	case 1:
+		return list[0]
+	}
+	i := b.rng.IntN(len(list))
+	j := (i + 1 + b.rng.IntN(len(list)-1)) % len(list)
+	if b.load(list[j]) < b.load(list[i]) {
+		i = j
+	}
+	return list[i]
+}
+
+// load is a server's load: this node's own calls there, each weighed by how slow the server has lately
+// been. With one call in flight or none, as on most servers of a large fleet, the count alone is blind.
+func (b *Balancer) load(s *server) float64 {
+	return float64(s.inflight+1) * b.slowness(s)
+}
+
+// slowness is a server's response time against that of all: what its size says, and what was seen beyond
+// that, which fades.
+func (b *Balancer) slowness(s *server) float64 {
+	usual := b.weight / (s.weight * b.cold(s))
+	return usual + s.late*math.Exp(-float64(b.now-s.lateAt)/float64(lateMemory))
+}
+
+// learn books the response time of an attempt against that of all servers.
+func (b *Balancer) learn(s *server, x float64) {
+	b.late += (x - b.late) * lateGain / 8
+	slow := b.slowness(s)
+	s.late *= math.Exp(-float64(b.now-s.lateAt) / float64(lateMemory))
+	s.late += (x/max(b.late, 1e-6) - slow) * lateGain
+	s.lateAt = b.now
+}
+
+// usable lists the servers that may take a call; ejected ones are left out where that is trusted.
+func (b *Balancer) usable(c *call, list []*server, trust bool) []*server {
+	b.scratch = b.scratch[:0]
+	for _, s := range list {
+		if trust && (s.out(b.now) || s.zone.out(b.now)) || !b.inGroup(c, s) || !b.may(s) {
+			continue
+		}
+		// Not the server that just failed, unless a keyed call has no other: it would wait in vain.
+		if n := len(c.attempts); trust && n > 0 && c.attempts[n-1].server == s && len(list) > 1 {
+			continue
+		}
+		b.scratch = append(b.scratch, s)
+	}
+	// Where many servers accept no connection, or too slowly, those with one to spare are tried first.
+	idle := func(s *server) bool { return len(s.idle) > 0 }
+	if b.unmade > unmadeMost && slices.ContainsFunc(b.scratch, idle) {
+		return slices.DeleteFunc(b.scratch, func(s *server) bool { return !idle(s) })
+	}
+	return b.scratch
+}
+
+// inGroup tells whether a keyed call that may have run is known to this server.
+func (b *Balancer) inGroup(c *call, s *server) bool {
+	class := &b.set.Classes[c.Class]
+	return !c.ran || class.Effect != Keyed || class.Group == GroupAll ||
+		class.Group == GroupZone && s.Zone == c.ranOn.Zone ||
+		class.Group == GroupCell && s.Cell == c.ranOn.Cell
+}
+
+// Outcome takes the end of an attempt.
+func (b *Balancer) Outcome(now time.Duration, o Outcome, out []Action) []Action {
+	b.begin(now, out)
+	c := b.calls[o.Request]
+	if c != nil && (o.Attempt < 0 || o.Attempt >= len(c.attempts) || c.attempts[o.Attempt].done) {
+		return b.out // not one of ours, or told before
+	}
+	if s := b.servers[o.Server]; s != nil {
+		s.inflight = max(0, s.inflight-1)
+		s.zone.inflight = max(0, s.zone.inflight-1)
+		b.judge(s, o.Result)
+		if s.Health == Removed && s.inflight == 0 {
+			delete(b.servers, o.Server)
+		}
+	}
+	if c == nil {
+		return b.out
+	}
+	a := &c.attempts[o.Attempt]
+	a.done, a.result = true, o.Result
+	b.unmade *= 1 - 1.0/unmadeMemory
+	if o.Result == Unconnected {
+		b.unmade += 1.0 / unmadeMemory
+	}
+	if o.Result == Served || o.Result == Errored || o.Result == Full {
+		a.server.idle = append(a.server.idle, b.now)
+		b.idled(a, false)
+	} else if o.Result == Broken || o.Result == TimedOut && !a.overdue {
+		b.idled(a, true)
+	}
+	c.open--
+	if o.Result != Cancelled && o.Result != NotSent {
+		took, aim := o.Elapsed, b.aim(&c.Request)
+		if o.Result != Served { // else a server that fails fast would look fast, and draw all calls
+			took = max(took, aim)
+		}
+		b.learn(c.attempts[o.Attempt].server, float64(took)/float64(max(1, aim)))
+	}
+	if o.Final {
+		b.drop(c, 0)
+		return b.out
+	}
+	if o.Result != Full && o.Result != Unconnected && o.Result != NotSent {
+		b.maybeRan(c, a)
+	}
+	if c.open == 0 {
+		b.again(c)
+	}
+	return b.out
+}
+
+// judge ejects a server that fails again and again, and a whole zone where all of its servers do: it is
+// lost, or cut off from here, and to find that out server by server would take many calls.
+func (b *Balancer) judge(s *server, r Result) {
+	switch r {
+	case Served:
+		memory := rateMemory.Seconds()
+		b.rate = b.rate*math.Exp(-(b.now-b.rateAt).Seconds()/memory) + 1/memory
+		b.rateAt = b.now
+		s.served()
+		s.zone.served()
+	case TimedOut, Unconnected, Broken:
+		if s.fails == 0 || s.zone.ejects > 0 { // one bad server is counted once
+			s.zone.fail(b.now, min(2*ejectAfter, max(ejectAfter, s.zone.members)))
+		}
+		s.fail(b.now, ejectAfter)
+	}
+}
+
+// again decides between a further attempt and giving up.
+func (b *Balancer) again(c *call) {
+	class := &b.set.Classes[c.Class]
+	// Drawn on also where nothing ran: tries turned away by a full tier multiply from tier to tier into the
+	// storm that keeps it full. Those that found no connection reached no server's queue, and are free.
+	free := c.attempts[len(c.attempts)-1].result == Unconnected
+	stop := len(c.attempts) >= b.set.MaxTries || b.now >= c.until || !free && b.retries < 1 ||
+		c.ran && class.Effect == Once
+	if stop {
+		b.end(c)
+		return
+	}
+	if !free {
+		b.retries--
+	}
+	b.send(c)
+}
+
+// end gives the final answer. A refusal is a promise that trying again is harmless, so it is given only
+// where that is true.
+func (b *Balancer) end(c *call) {
+	class := &b.set.Classes[c.Class]
+	harmless := !c.ran || class.Effect == Repeatable || class.Effect == Keyed && class.Group == GroupAll
+	if harmless && b.now < c.until {
+		wait := b.retryAfter(b.aim(&c.Request) - (b.now - c.arrived))
+		b.act(Action{Kind: Refuse, Request: c.ID, Wait: wait})
+	} else {
+		b.act(Action{Kind: Fail, Request: c.ID})
+	}
+	b.drop(c, b.aim(&c.Request))
+}
+
+// drop forgets a finished call and books its response time, in units of its aim. One that was not served
+// counts as least at its aim: else quick failures would read as a quick service and let in more.
+func (b *Balancer) drop(c *call, least time.Duration) {
+	delete(b.calls, c.ID)
+	aim := float64(max(1, b.aim(&c.Request)))
+	b.held = max(0, b.held-1/aim)
+	b.sum += float64(max(0, least-(b.now-c.arrived))) / aim
+	b.count++
+}
+
+// Probed takes the result of a probe.
+func (b *Balancer) Probed(now time.Duration, p Probed, out []Action) []Action {
+	b.begin(now, out)
+	return b.out
+}
+
+// Timer takes a due After.
+func (b *Balancer) Timer(now time.Duration, t Timer, out []Action) []Action {
+	b.begin(now, out)
+	if t.Token == askToken {
+		if !b.asking && !b.watching {
+			b.asking = true
+			b.act(Action{Kind: Watch})
+		}
+		return b.out
+	}
+	if c := b.calls[t.Token]; c != nil && c.open == 0 {
+		b.send(c)
+	} else if c != nil {
+		b.overdue(c)
+	}
+	return b.out
+}
+
+// Gone takes word that a client has left.
+func (b *Balancer) Gone(now time.Duration, g Gone, out []Action) []Action {
+	b.begin(now, out)
+	if c := b.calls[g.Request]; c != nil {
+		b.drop(c, 0)
+		for i := range c.attempts {
+			if b.set.MayCancel && !c.attempts[i].done {
+				b.act(Action{Kind: Cancel, Request: c.ID, Attempt: i})
+			}
+		}
+	}
+	return b.out
+}
--- /dev/null
+++ b/decide/example_test.go
@@ -0,0 +1,41 @@
+package decide_test
+
+import (
+	"fmt"
+	"time"
+
+	"milletrail/decide"
+)
+
+// A node keeps one Balancer, hands it each event with the time, and carries out what comes back.
+func Example() {
+	set := decide.Settings{
+		Nodes: 1, MaxTries: 3, AnswerGrace: 10 * time.Millisecond,
+		Classes: []decide.Class{{
+			Aim: 300 * time.Millisecond, Deadline: time.Second, Worth: 1, Effect: decide.Repeatable,
+		}},
+	}
+	now := time.Duration(0) // the node's own monotonic clock
+	b := decide.New(set, 1, now)
+	b.Members(now, decide.Members{Change: decide.ListFull, Servers: []decide.Server{
+		{ID: "10.0.0.1:80"}, {ID: "10.0.0.2:80"},
+	}}, nil)
+
+	request := decide.Request{ID: 7, Tenant: -1, TTL: time.Second}
+	for _, a := range b.Request(now, request, nil) {
+		if a.Kind != decide.Send {
+			continue
+		}
+		fmt.Println("send request", a.Request)
+		now += 20 * time.Millisecond // the server is not there
+		lost := decide.Outcome{Request: 7, Server: a.Server, Result: decide.Unconnected, Elapsed: 20 * time.Millisecond}
+		for _, again := range b.Outcome(now, lost, nil) {
+			if again.Kind == decide.Send {
+				fmt.Println("send again to another server:", again.Server != a.Server)
+			}
+		}
+	}
+	// Output:
+	// send request 7
+	// send again to another server: true
+}
--- /dev/null
+++ b/decide/rules_test.go
@@ -0,0 +1,559 @@
+package decide
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// world feeds a Balancer random legal events and checks every action against the
+// four rules, from the events alone.
+type world struct {
+	t        *testing.T
+	set      Settings
+	rng      *rand.Rand
+	balancer *Balancer
+	now      time.Duration
+	buf      []Action
+	servers  map[string]*listed
+	ids      []string
+	open     map[uint64]*owed
+	flying   []flight
+	timers   []timer
+	nextID   uint64
+	sends    map[string][]time.Duration // to cold servers
+	log      strings.Builder
+	broken   bool // the rules are broken on purpose
+}
+
+type listed struct {
+	Server
+	gone   bool
+	stopAt time.Duration // told that nothing new may be sent
+}
+
+type owed struct {
+	Request
+	deadline time.Duration
+	sent     []try
+	ended    bool // the node was told of its end
+}
+
+type try struct {
+	server  *listed
+	at      time.Duration
+	open    bool
+	harmful bool // may have run
+}
+
+type flight struct {
+	at      time.Duration
+	request uint64
+	attempt int
+	server  string
+	result  Result
+	took    time.Duration
+}
+
+type timer struct {
+	at    time.Duration
+	token uint64
+}
+
+// violation is what fail panics with where a test means the rules to be broken.
+type violation string
+
+func (w *world) fail(format string, args ...any) {
+	w.t.Helper()
+	if w.broken {
+		panic(violation(fmt.Sprintf(format, args...)))
+	}
+	w.t.Fatalf("at %v: %s", w.now, fmt.Sprintf(format, args...))
+}
+
+func newWorld(t *testing.T, seed uint64) *world {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	zones := []string{"x", "y", "z"}[:1+rng.IntN(3)]
+	set := Settings{
+		Node: rng.IntN(3), Nodes: 3, Tier: rng.IntN(3), Zone: zones[0], MustAsk: rng.IntN(2) == 0,
+		AskWithin: 4 * time.Second, ColdFrom: 0.3, ColdFor: 5 * time.Second, FallMultiple: 3, FallFor: 2 * time.Second,
+		AnswerGrace: 8 * ms, MaxTries: 1 + rng.IntN(6), MaxRetryAfter: time.Duration(rng.IntN(2)) * time.Second,
+		MaySecondCopy: rng.IntN(2) == 0, MayCancel: rng.IntN(2) == 0, MayAdviseReturn: rng.IntN(2) == 0,
+		OverShareWorth: 0.2,
+	}
+	for effect := Repeatable; effect <= Once; effect++ {
+		for group := GroupAll; group <= GroupCell; group++ {
+			set.Classes = append(set.Classes, Class{
+				Aim: 300 * ms, Deadline: 900 * ms, Worth: float64(1 + rng.IntN(3)), LateWorth: float64(rng.IntN(2)) / 2,
+				Effect: effect, Group: group, KeyTTL: 400 * ms,
+			})
+		}
+	}
+	if rng.IntN(2) == 0 {
+		set.Tenants = []Tenant{{Quota: 30}, {}}
+	}
+	w := &world{
+		t: t, set: set, rng: rng, now: time.Second, servers: map[string]*listed{}, open: map[uint64]*owed{},
+		sends: map[string][]time.Duration{}, balancer: New(set, seed, time.Second),
+	}
+	first := make([]Server, rng.IntN(9))
+	for i := range first {
+		first[i] = w.newServer(zones)
+	}
+	w.members(Members{ListStored, first})
+	return w
+}
+
+func (w *world) newServer(zones []string) Server {
+	id := fmt.Sprintf("s%d", len(w.ids))
+	w.ids = append(w.ids, id)
+	s := Server{ID: id, Zone: zones[w.rng.IntN(len(zones))], Cell: w.rng.IntN(3), Weight: float64(w.rng.IntN(3))}
+	if w.rng.IntN(3) == 0 {
+		s.Started = w.now - time.Duration(w.rng.IntN(900))*ms
+	}
+	return s
+}
+
+func (w *world) members(m Members) {
+	if m.Change == ListFull || m.Change == ListStored {
+		for _, s := range w.servers {
+			s.gone = true
+		}
+	}
+	for _, e := range m.Servers {
+		w.servers[e.ID] = &listed{Server: e, gone: e.Health != Healthy}
+	}
+	w.take(w.balancer.Members(w.now, m, w.buf[:0]))
+}
+
+// step plays the next millisecond.
+func (w *world) step(zones []string, until time.Duration) {
+	w.now += ms
+	if w.rng.IntN(700) == 0 { // the node stands still, and then finds all that came meanwhile
+		w.now += time.Duration(w.rng.IntN(400)) * ms
+	}
+	for _, f := range w.due() {
+		c := w.open[f.request]
+		if c != nil {
+			c.sent[f.attempt].open = false
+			c.sent[f.attempt].harmful = f.result != Full && f.result != Unconnected && f.result != NotSent
+		}
+		final := f.result == Served && c != nil && w.now <= c.deadline
+		w.handle(func(out []Action) []Action {
+			return w.balancer.Outcome(w.now, Outcome{f.request, f.attempt, f.server, f.result, f.took, final}, out)
+		}, func() {
+			if final {
+				delete(w.open, f.request)
+			}
+		})
+	}
+	for i := 0; i < len(w.timers); i++ {
+		if tm := w.timers[i]; tm.at <= w.now {
+			w.timers = append(w.timers[:i], w.timers[i+1:]...)
+			i--
+			w.take(w.balancer.Timer(w.now, Timer{tm.token}, w.buf[:0]))
+		}
+	}
+	if w.now < until {
+		w.random(zones)
+	}
+	for id, c := range w.open {
+		if w.now > c.deadline+w.set.AnswerGrace {
+			w.fail("request %d got no final answer", id)
+		}
+	}
+}
+
+// handle runs before, then hands an event to the module.
+func (w *world) handle(event func([]Action) []Action, before func()) {
+	before()
+	w.take(event(w.buf[:0]))
+}
+
+func (w *world) due() []flight {
+	var due, rest []flight
+	for _, f := range w.flying {
+		if f.at <= w.now {
+			due = append(due, f)
+		} else {
+			rest = append(rest, f)
+		}
+	}
+	w.flying = rest
+	return due
+}
+
+func (w *world) random(zones []string) {
+	switch p := w.rng.IntN(1000); {
+	case p < 200:
+		w.nextID++
+		tenant := -1
+		if n := len(w.set.Tenants); n > 0 {
+			tenant = w.rng.IntN(n+1) - 1
+		}
+		r := Request{
+			ID: w.nextID, Class: w.rng.IntN(len(w.set.Classes)), Tenant: tenant,
+			TTL: time.Duration(w.rng.IntN(800)) * ms, Work: time.Duration(w.rng.IntN(2)) * 20 * ms,
+		}
+		w.open[r.ID] = &owed{Request: r, deadline: w.now + r.TTL}
+		w.take(w.balancer.Request(w.now, r, w.buf[:0]))
+	case p < 203:
+		w.members(Members{ListDiff, []Server{w.newServer(zones)}})
+	case p < 208 && len(w.ids) > 0:
+		if s := w.servers[w.ids[w.rng.IntN(len(w.ids))]]; s != nil {
+			e := s.Server
+			e.Health = Health(w.rng.IntN(3))
+			if e.Health == Healthy {
+				e.Started = w.now
+			}
+			w.members(Members{ListDiff, []Server{e}})
+		}
+	case p < 209:
+		var full []Server
+		for _, id := range w.ids {
+			if s := w.servers[id]; s != nil && !s.gone && w.rng.IntN(5) > 0 {
+				full = append(full, s.Server)
+			}
+		}
+		w.members(Members{ListFull, full})
+	case p < 210 && w.set.MustAsk:
+		w.members(Members{ListFailed, nil})
+	case p < 215:
+		for _, id := range slices.Sorted(maps.Keys(w.open)) {
+			if id%7 == 0 {
+				delete(w.open, id)
+				w.take(w.balancer.Gone(w.now, Gone{id}, w.buf[:0]))
+			}
+			break
+		}
+	case p < 217: // events for what is not held
+		w.take(w.balancer.Gone(w.now, Gone{1 << 40}, w.buf[:0]))
+		w.take(w.balancer.Timer(w.now, Timer{1 << 41}, w.buf[:0]))
+		w.take(w.balancer.Outcome(w.now, Outcome{Request: 1 << 40, Server: "unknown"}, w.buf[:0]))
+		w.take(w.balancer.Probed(w.now, Probed{Server: "unknown"}, w.buf[:0]))
+	}
+}
+
+// take checks and carries out a reply.
+func (w *world) take(actions []Action) {
+	for _, a := range actions {
+		c := w.open[a.Request]
+		switch a.Kind {
+		case Send:
+			w.send(c, a)
+		case Refuse, Fail:
+			if c == nil {
+				w.fail("a second answer to request %d", a.Request)
+			}
+			if a.Kind == Refuse {
+				w.mayRefuse(c)
+				if a.Wait < 0 || a.Wait > w.set.MaxRetryAfter || a.Wait > 0 && !w.set.MayAdviseReturn {
+					w.fail("retry-after of %v", a.Wait)
+				}
+			}
+			delete(w.open, a.Request)
+		case After:
+			if a.Wait < 0 {
+				w.fail("a timer in the past")
+			}
+			w.timers = append(w.timers, timer{w.now + a.Wait, a.Token})
+		case Cancel:
+			if !w.set.MayCancel {
+				w.fail("a cancel that is not permitted")
+			}
+		case Watch, Fetch:
+			if !w.set.MustAsk {
+				w.fail("asked for a list that comes by itself")
+			}
+		case Probe:
+			if !w.set.MayProbe {
+				w.fail("a probe that is not permitted")
+			}
+		}
+	}
+	w.buf = actions
+}
+
+func (w *world) send(c *owed, a Action) {
+	s := w.servers[a.Server]
+	switch {
+	case c == nil:
+		w.fail("a send for request %d, which is not owed", a.Request)
+	case s == nil || s.gone:
+		w.fail("a send to %s, which drains or is gone", a.Server)
+	case len(c.sent) >= w.set.MaxTries:
+		w.fail("more than %d attempts", w.set.MaxTries)
+	case a.Wait <= 0 || w.now+a.Wait > c.deadline:
+		w.fail("an attempt of %v, %v are left", a.Wait, c.deadline-w.now)
+	}
+	class := w.set.Classes[c.Class]
+	open := 0
+	for _, t := range c.sent {
+		if t.open {
+			open++
+		}
+		if !t.open && !t.harmful {
+			continue
+		}
+		switch {
+		case class.Effect == Once:
+			w.fail("an effect could happen twice")
+		case class.Effect == Keyed && w.now-t.at > class.KeyTTL:
+			w.fail("a repeat after the key was forgotten")
+		case class.Effect == Keyed && class.Group == GroupZone && s.Zone != t.server.Zone,
+			class.Effect == Keyed && class.Group == GroupCell && s.Cell != t.server.Cell:
+			w.fail("a repeat outside the group that drops it")
+		}
+	}
+	if open > 1 || open == 1 && !w.set.MaySecondCopy {
+		w.fail("%d attempts at once", open+1)
+	}
+	c.sent = append(c.sent, try{server: s, at: w.now, open: true})
+	if s.Started > 0 && w.now-s.Started < w.set.ColdFor {
+		// The budget of one of three nodes, were the server able to do 100 requests a second.
+		w.sends[s.ID] = append(w.sends[s.ID], w.now)
+		n := 0
+		for _, at := range w.sends[s.ID] {
+			if w.now-at < w.set.FallFor {
+				n++
+			}
+		}
+		if room := w.set.FallMultiple * w.set.ColdFrom * 100 * w.set.FallFor.Seconds() / 3; float64(n) > room+0.5 {
+			w.fail("%d sends to cold %s within %v, room for %.0f", n, s.ID, w.set.FallFor, room)
+		}
+	}
+	took := time.Duration(1+w.rng.IntN(300)) * ms
+	result := []Result{Served, Served, Served, Errored, Full, Unconnected, Broken, Served}[w.rng.IntN(8)]
+	if took >= a.Wait || w.rng.IntN(20) == 0 { // slow, or silent for ever
+		took, result = a.Wait, TimedOut
+	}
+	w.flying = append(w.flying, flight{w.now + took, c.ID, len(c.sent) - 1, s.ID, result, took})
+}
+
+func (w *world) mayRefuse(c *owed) {
+	class := w.set.Classes[c.Class]
+	for _, t := range c.sent {
+		if !t.open && !t.harmful {
+			continue
+		}
+		if class.Effect == Once || class.Effect == Keyed && class.Group != GroupAll {
+			w.fail("a refusal of what may have run")
+		}
+	}
+}
+
+func TestRulesOnRandomEvents(t *testing.T) {
+	for seed := uint64(0); seed < 60; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			w := newWorld(t, seed)
+			zones := []string{"x", "y", "z"}
+			for end := w.now + 8*time.Second; w.now < end; {
+				w.step(zones, end-time.Second)
+			}
+			if n := len(w.balancer.calls); n != 0 || len(w.open) != 0 {
+				t.Errorf("%d calls are kept after their end, %d owed", n, len(w.open))
+			}
+			for id, s := range w.balancer.servers {
+				if s.inflight != 0 {
+					t.Errorf("%s keeps %d in flight", id, s.inflight)
+				}
+			}
+		})
+	}
+}
+
+// The reading of the rules above must itself see a violation of each.
+func TestTheRulesAreSeenBroken(t *testing.T) {
+	wait := 50 * ms
+	for _, c := range []struct {
+		name, want string
+		act        func(w *world)
+	}{
+		{"two answers", "second answer", func(w *world) {
+			w.take([]Action{{Kind: Fail, Request: 1}, {Kind: Refuse, Request: 1}})
+		}},
+		{"sent after the end", "not owed", func(w *world) {
+			w.take([]Action{{Kind: Fail, Request: 1}, {Kind: Send, Request: 1, Server: "a", Wait: wait}})
+		}},
+		{"no answer", "no final answer", func(w *world) {
+			for range 2000 {
+				w.step(nil, 0)
+			}
+		}},
+		{"an effect twice", "effect could happen twice", func(w *world) {
+			w.take([]Action{{Kind: Send, Request: 1, Server: "a", Wait: wait}})
+			w.open[1].sent[0].open, w.open[1].sent[0].harmful = false, true
+			w.take([]Action{{Kind: Send, Request: 1, Server: "a", Wait: wait}})
+		}},
+		{"refused after it may have run", "may have run", func(w *world) {
+			w.take([]Action{{Kind: Send, Request: 1, Server: "a", Wait: wait}, {Kind: Refuse, Request: 1}})
+		}},
+		{"outside the group", "outside the group", func(w *world) {
+			w.open[1].Class = 5 // keyed, by cell
+			w.take([]Action{{Kind: Send, Request: 1, Server: "a", Wait: wait}})
+			w.open[1].sent[0].open, w.open[1].sent[0].harmful = false, true
+			w.take([]Action{{Kind: Send, Request: 1, Server: "cold", Wait: wait}})
+		}},
+		{"sent to a draining server", "drains or is gone", func(w *world) {
+			w.take([]Action{{Kind: Send, Request: 1, Server: "draining", Wait: wait}})
+		}},
+		{"a cold server pushed over", "sends to cold", func(w *world) {
+			for id := uint64(2); id < 200; id++ {
+				w.open[id] = &owed{Request: Request{ID: id}, deadline: w.now + time.Second}
+				w.take([]Action{{Kind: Send, Request: id, Server: "cold", Wait: wait}})
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t, 3)
+			w.broken, w.set.MaxTries = true, 9
+			w.servers = map[string]*listed{
+				"a": {Server: Server{ID: "a"}}, "draining": {Server: Server{ID: "draining"}, gone: true},
+				"cold": {Server: Server{ID: "cold", Cell: 1, Started: w.now}},
+			}
+			w.open = map[uint64]*owed{1: {Request: Request{ID: 1, Class: 8}, deadline: w.now + time.Second}}
+			defer func() {
+				if v, _ := recover().(violation); !strings.Contains(string(v), c.want) {
+					t.Errorf("seen: %q, want %q", v, c.want)
+				}
+			}()
+			c.act(w)
+		})
+	}
+}
+
+// fleet plays several nodes before the same servers, each of which answers after took, and counts what all
+// nodes together send to one of them.
+func fleet(nodes, servers int, set Settings, took, length time.Duration, restart func(i int) (time.Duration, bool)) []time.Duration {
+	type due struct {
+		at      time.Duration
+		node    int
+		outcome Outcome
+	}
+	var all []*Balancer
+	var list []Server
+	for i := range servers {
+		list = append(list, Server{ID: fmt.Sprint("s", i)})
+	}
+	set.Nodes = nodes
+	for i := range nodes {
+		set.Node = i
+		b := New(set, uint64(i), 0)
+		b.Members(0, Members{Change: ListStored, Servers: list}, nil)
+		all = append(all, b)
+	}
+	var sends []time.Duration
+	var flying []due
+	id := uint64(0)
+	for now := time.Duration(0); now < length; now += 10 * ms {
+		if started, yes := restart(int(now / (10 * ms))); yes {
+			for _, b := range all {
+				b.Members(now, Members{Change: ListDiff, Servers: []Server{{ID: "s0", Started: started}}}, nil)
+			}
+		}
+		for len(flying) > 0 && flying[0].at <= now {
+			all[flying[0].node].Outcome(now, flying[0].outcome, nil)
+			flying = flying[1:]
+		}
+		for i, b := range all {
+			id++
+			for _, a := range b.Request(now, Request{ID: id, Tenant: -1, TTL: 9 * time.Second}, nil) {
+				if a.Kind != Send {
+					continue
+				}
+				if a.Server == "s0" {
+					sends = append(sends, now)
+				}
+				flying = append(flying, due{now + took, i, Outcome{Request: id, Server: a.Server, Elapsed: took, Final: true}})
+			}
+		}
+	}
+	return sends
+}
+
+// All nodes together must keep under the multiple of what a cold server can do, in every window, though each
+// knows only its own sends; and they must use it.
+func TestColdBudgetOverManyNodes(t *testing.T) {
+	const restartAt = 5 * time.Second
+	for _, nodes := range []int{4, 24} {
+		set := Settings{
+			ColdFrom: 0.1, ColdFor: 20 * time.Second, FallMultiple: 2.5, FallFor: time.Second, MaxTries: 2,
+			Tier: 1, AnswerGrace: 10 * ms, Classes: []Class{{Aim: 9 * time.Second, Deadline: 9 * time.Second, Worth: 1}},
+		}
+		// Every node takes 100 requests a second; the servers, twice as many, can just do that, and hold so
+		// many calls that a cold one looks idle.
+		sends := fleet(nodes, 2*nodes, set, 900*ms, 15*time.Second, func(step int) (time.Duration, bool) {
+			return restartAt, step == int(restartAt/(10*ms))
+		})
+		const capacity = 50.0
+		cold := 0
+		for i, at := range sends {
+			if at < restartAt {
+				continue
+			}
+			cold++
+			n := 0
+			for _, other := range sends[:i+1] {
+				if other > at-set.FallFor && other >= restartAt {
+					n++
+				}
+			}
+			age := (at - restartAt).Seconds() / set.ColdFor.Seconds()
+			if room := set.FallMultiple * (set.ColdFrom + (1-set.ColdFrom)*age) * capacity; float64(n) > room {
+				t.Fatalf("%d nodes: %d sends within %v at age %v, room for %.1f", nodes, n, set.FallFor, at-restartAt, room)
+			}
+		}
+		if cold < 5 {
+			t.Errorf("%d nodes: only %d sends in 10 s to a server that warms up", nodes, cold)
+		}
+	}
+}
+
+// A node that starts with an old stored list must follow what it then learns: nothing to a server told as
+// draining or gone, whatever the order of lists, failures and repeats; and an empty list loses no call.
+func TestStaleListIsFollowed(t *testing.T) {
+	set := Settings{
+		Nodes: 1, MustAsk: true, AskWithin: 4 * time.Second, MaxTries: 3, AnswerGrace: 10 * ms,
+		Classes: []Class{{Aim: time.Second, Deadline: time.Second, Worth: 1}},
+	}
+	b := New(set, 1, 0)
+	asked := 0
+	watch := func(actions []Action) {
+		for _, a := range actions {
+			if a.Kind == Watch || a.Kind == After && a.Token == askToken {
+				asked++
+			}
+		}
+	}
+	watch(b.Members(0, Members{Change: ListStored, Servers: []Server{{ID: "old"}, {ID: "kept"}}}, nil))
+	watch(b.Timer(ms, Timer{askToken}, nil))
+	watch(b.Members(2*ms, Members{Change: ListFailed}, nil))
+	if asked < 3 {
+		t.Errorf("asked %d times after a stored list and a failure", asked)
+	}
+	b.Members(3*ms, Members{Change: ListFull, Servers: []Server{{ID: "kept"}}}, nil)
+	b.Members(3*ms, Members{Change: ListFull, Servers: []Server{{ID: "kept"}}}, nil)
+	b.Members(3*ms, Members{Change: ListDiff, Servers: []Server{{ID: "new", Health: Draining}, {ID: "odd", Health: Removed}}}, nil)
+	for id := range uint64(20) {
+		for _, a := range b.Request(4*ms, Request{ID: id, Tenant: -1, TTL: time.Second}, nil) {
+			if a.Kind == Send && a.Server != "kept" {
+				t.Errorf("sent to %s, which drains or is gone", a.Server)
+			}
+		}
+	}
+	b.Members(5*ms, Members{Change: ListFull}, nil)
+	b.calls = map[uint64]*call{}
+	held := b.Request(6*ms, Request{ID: 99, Tenant: -1, TTL: 20 * ms}, nil)
+	if len(held) != 1 || held[0].Kind != After {
+		t.Fatalf("with no server: %v, want the call held", held)
+	}
+	if end := b.Timer(26*ms, Timer{99}, nil); len(end) != 1 || end[0].Kind != Fail && end[0].Kind != Refuse {
+		t.Errorf("at the end of its time: %v, want an answer", end)
+	}
+}
