--- a/cmd/benchlink/host.go
+++ b/cmd/benchlink/host.go
@@ -8,7 +8,7 @@
 	"io"
 	"time"
 
-	"milletrail/decide"
+	"curlewring/decide"
 )
 
 const rosters = 16 // list numbers run from 0 to 15
--- a/cmd/benchlink/wire.go
+++ b/cmd/benchlink/wire.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"time"
 
-	"milletrail/decide"
+	"curlewring/decide"
 )
 
 // message is one line of input: an object with a single key, the event's name.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,4 +1,4 @@
-// The decisions of milletrail; its interface stands in decide/api.go.
+// The decisions of curlewring; its interface stands in decide/api.go.
 package decide
 
 import (
--- a/decide/example_test.go
+++ b/decide/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"milletrail/decide"
+	"curlewring/decide"
 )
 
 // A node keeps one Balancer, hands it each event with the time, and carries out what comes back.
--- a/policy_test.go
+++ b/policy_test.go
@@ -1,4 +1,4 @@
-package milletrail_test
+package curlewring_test
 
 import (
 	"encoding/json"
