--- a/cmd/benchlink/host.go
+++ b/cmd/benchlink/host.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"curlewring/decide"
+	"curlewring/internal/settings"
 )
 
 const rosters = 16 // list numbers run from 0 to 15
@@ -118,7 +119,7 @@
 		if e.Server == "" {
 			return errors.New("a list entry names no server")
 		}
-		health, err := named(states, "health", e.Health)
+		health, err := settings.Named(states, "health", e.Health)
 		if err != nil {
 			return err
 		}
@@ -135,7 +136,7 @@
 	if b.I == nil || b.Info == nil {
 		return errors.New("boot needs an instance and its settings")
 	}
-	set, err := b.Info.translate()
+	set, err := b.Info.Translate()
 	if err != nil {
 		return fmt.Errorf("boot of instance %d: %w", *b.I, err)
 	}
@@ -227,7 +228,7 @@
 }
 
 func (h *host) view(n *node, v *view) error {
-	change, err := named(changes, "kind of list", v.How)
+	change, err := settings.Named(changes, "kind of list", v.How)
 	if err != nil {
 		return err
 	}
@@ -243,7 +244,7 @@
 }
 
 func (h *host) request(n *node, r *req) error {
-	class, err := named(n.classes, "class", r.Grade)
+	class, err := settings.Named(n.classes, "class", r.Grade)
 	if err != nil {
 		return err
 	}
@@ -261,7 +262,7 @@
 }
 
 func (h *host) outcome(n *node, o *outcome) error {
-	result, err := named(results, "outcome", o.State)
+	result, err := settings.Named(results, "outcome", o.State)
 	if err != nil {
 		return err
 	}
@@ -275,7 +276,7 @@
 }
 
 func (h *host) probed(n *node, o *outcome) error {
-	result, err := named(results, "outcome", o.State)
+	result, err := settings.Named(results, "outcome", o.State)
 	if err != nil {
 		return err
 	}
--- a/cmd/benchlink/wire.go
+++ b/cmd/benchlink/wire.go
@@ -3,11 +3,11 @@
 import (
 	"bytes"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"time"
 
 	"curlewring/decide"
+	"curlewring/internal/settings"
 )
 
 // message is one line of input: an object with a single key, the event's name.
@@ -37,80 +37,8 @@
 
 type boot struct {
 	instance
-	Seed uint64    `json:"rng_seed"`
-	Info *settings `json:"boot_info"`
-}
-
-type settings struct {
-	Categories []struct {
-		Name       string        `json:"name"`
-		Aim        time.Duration `json:"aim_ns"`
-		AimStretch float64       `json:"aim_stretch"`
-		Deadline   time.Duration `json:"deadline_ns"`
-		Worth      float64       `json:"worth"`
-		LateWorth  float64       `json:"late_worth"`
-		Semantics  string        `json:"semantics"`
-		Group      string        `json:"group"`
-		KeyTTL     time.Duration `json:"key_ttl_ns"`
-	} `json:"categories"`
-	Limits struct {
-		Cancel         bool          `json:"cancel"`
-		ConnIdle       time.Duration `json:"conn_idle_ns"`
-		ConnectTimeout time.Duration `json:"connect_timeout_ns"`
-		MayProbe       bool          `json:"may_probe"`
-		SecondCopies   bool          `json:"second_copies"`
-		RetryAfter     bool          `json:"retry_after"`
-		MaxRetryAfter  time.Duration `json:"max_retry_after_ns"`
-		MostHeld       int           `json:"most_held"`
-		MostTries      int           `json:"most_tries"`
-		StreamsPerConn int           `json:"streams_per_conn"`
-	} `json:"limits"`
-	Obligations struct {
-		AskWithin    time.Duration `json:"ask_within_ns"`
-		ColdFrom     float64       `json:"cold_from"`
-		ColdFor      time.Duration `json:"cold_ns"`
-		DrainGrace   time.Duration `json:"drain_grace_ns"`
-		FallMultiple float64       `json:"fall_multiple"`
-		FallFor      time.Duration `json:"fall_ns"`
-		AnswerGrace  time.Duration `json:"grace_to_answer_ns"`
-	} `json:"obligations"`
-	Callers struct {
-		MarksRetry bool `json:"marks_retry"`
-	} `json:"callers"`
-	Deductions struct {
-		CrossZone float64 `json:"cross_zone"`
-		Handshake float64 `json:"handshake"`
-		LateFail  float64 `json:"late_fail"`
-		Probe     float64 `json:"probe"`
-		Waste     float64 `json:"waste"`
-	} `json:"deductions"`
-	Family struct {
-		PassesDeadline bool `json:"passes_deadline"`
-	} `json:"family_info"`
-	Objective struct {
-		LogLossPart float64 `json:"log_loss_part"`
-		TopNines    float64 `json:"top_nines"`
-		Whole       float64 `json:"whole"`
-		WorstClass  float64 `json:"worst_class"`
-		WorstTenant float64 `json:"worst_tenant"`
-		WorstWindow float64 `json:"worst_window"`
-	} `json:"objective_mix"`
-	Tenants []struct {
-		Name  string  `json:"name"`
-		Quota float64 `json:"quota_per_s"`
-		Share float64 `json:"share"`
-	} `json:"tenants"`
-	Areas          []string      `json:"areas"`
-	CountedBy      string        `json:"counted_by"`
-	Me             int           `json:"me"`
-	Instances      int           `json:"n_instances"`
-	OverShareWorth float64       `json:"over_share_worth"`
-	Period         time.Duration `json:"period_ns"`
-	RegistryMode   string        `json:"registry_mode"`
-	Tier           int           `json:"tier"`
-	Tiers          []string      `json:"tiers"`
-	WeightSource   string        `json:"weight_source"`
-	Zone           string        `json:"zone"`
+	Seed uint64           `json:"rng_seed"`
+	Info *settings.Object `json:"boot_info"`
 }
 
 type census struct {
@@ -220,23 +148,8 @@
 	states = map[string]decide.Health{
 		"healthy": decide.Healthy, "cordoned": decide.Draining, "deregistered": decide.Removed,
 	}
-	effects = map[string]decide.Effect{"repeatable": decide.Repeatable, "by_key": decide.Keyed, "once": decide.Once}
-	weights = map[string]decide.Weights{
-		"none": decide.WeightsNone, "nominal": decide.WeightsNominal, "rough": decide.WeightsRough,
-		"live": decide.WeightsLive,
-	}
-	groups = map[string]decide.Group{"all": decide.GroupAll, "zone": decide.GroupZone, "cell": decide.GroupCell}
 )
 
-// named looks up a word of the wire.
-func named[T any](table map[string]T, what, word string) (T, error) {
-	v, ok := table[word]
-	if !ok {
-		return v, fmt.Errorf("unknown %s %q", what, word)
-	}
-	return v, nil
-}
-
 // parse reads one line and checks that it is one known event.
 func parse(line []byte) (message, error) {
 	var m message
@@ -258,76 +171,3 @@
 	}
 	return m, nil
 }
-
-// translate turns the wire's settings into the module's.
-func (s *settings) translate() (decide.Settings, error) {
-	set := decide.Settings{
-		Node:           s.Me,
-		Nodes:          s.Instances,
-		Tier:           s.Tier,
-		Tiers:          len(s.Tiers),
-		Zones:          len(s.Areas),
-		ByWork:         s.CountedBy == "work",
-		DrainGrace:     s.Obligations.DrainGrace,
-		Tick:           s.Period,
-		PassesDeadline: s.Family.PassesDeadline,
-		MaxHeld:        s.Limits.MostHeld,
-		ConnIdle:       s.Limits.ConnIdle,
-		ConnectTimeout: s.Limits.ConnectTimeout,
-		Streams:        s.Limits.StreamsPerConn,
-		Zone:           s.Zone,
-		OverShareWorth: s.OverShareWorth,
-		MustAsk:        s.RegistryMode == "subscribe",
-		AskWithin:      s.Obligations.AskWithin,
-		ColdFrom:       s.Obligations.ColdFrom,
-		ColdFor:        s.Obligations.ColdFor,
-		FallMultiple:   s.Obligations.FallMultiple,
-		FallFor:        s.Obligations.FallFor,
-		AnswerGrace:    s.Obligations.AnswerGrace,
-		MarksRepeats:   s.Callers.MarksRetry,
-		Prices: decide.Prices{
-			CrossZone: s.Deductions.CrossZone,
-			Handshake: s.Deductions.Handshake,
-			Probe:     s.Deductions.Probe,
-			Waste:     s.Deductions.Waste,
-			LateFail:  s.Deductions.LateFail,
-		},
-		Goal: decide.Goal{
-			Whole:       s.Objective.Whole,
-			WorstWindow: s.Objective.WorstWindow,
-			WorstClass:  s.Objective.WorstClass,
-			WorstTenant: s.Objective.WorstTenant,
-			Nines:       s.Objective.LogLossPart,
-			NinesFull:   s.Objective.TopNines,
-		},
-		MaxTries:        s.Limits.MostTries,
-		MaxRetryAfter:   s.Limits.MaxRetryAfter,
-		MayCancel:       s.Limits.Cancel,
-		MayProbe:        s.Limits.MayProbe,
-		MaySecondCopy:   s.Limits.SecondCopies,
-		MayAdviseReturn: s.Limits.RetryAfter,
-	}
-	if len(s.Categories) == 0 {
-		return set, errors.New("settings name no class")
-	}
-	for _, c := range s.Categories {
-		effect, err := named(effects, "semantics", c.Semantics)
-		if err != nil {
-			return set, err
-		}
-		group := decide.GroupAll
-		if effect == decide.Keyed {
-			if group, err = named(groups, "group", c.Group); err != nil {
-				return set, err
-			}
-		}
-		set.Classes = append(set.Classes, decide.Class{
-			Aim: c.Aim, AimStretch: c.AimStretch, Deadline: c.Deadline, Worth: c.Worth, LateWorth: c.LateWorth,
-			Effect: effect, Group: group, KeyTTL: c.KeyTTL,
-		})
-	}
-	for _, t := range s.Tenants {
-		set.Tenants = append(set.Tenants, decide.Tenant{Quota: t.Quota, Share: t.Share})
-	}
-	return set, nil
-}
--- /dev/null
+++ b/cmd/curlewring/main.go
@@ -0,0 +1,45 @@
+// Command curlewring is a load-balancing node. LB_CONFIG names the file that
+// tells it where to listen, where discovery is, and what to go by.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"curlewring/internal/node"
+)
+
+func main() {
+	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	if err := run(log); err != nil {
+		fmt.Fprintln(os.Stderr, "curlewring:", err)
+		os.Exit(1)
+	}
+}
+
+func run(log *slog.Logger) error {
+	config, err := node.ReadConfig(os.Getenv("LB_CONFIG"))
+	if err != nil {
+		return err
+	}
+	// One core, which other nodes may share. Memory that the limit leaves over
+	// is for stacks, the program itself and the kernel's part; collections are
+	// rare until the heap nears it.
+	runtime.GOMAXPROCS(1)
+	debug.SetMemoryLimit(int64(config.MemoryMB) << 20 * 2 / 3)
+	debug.SetGCPercent(400)
+
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	n, err := node.New(config, log.With("node", config.Name))
+	if err != nil {
+		return err
+	}
+	return n.Run(ctx)
+}
--- /dev/null
+++ b/internal/node/discovery.go
@@ -0,0 +1,252 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"curlewring/decide"
+)
+
+const (
+	// Discovery can send so many lines a second to the whole fleet, and every
+	// call costs some: a watch waits as long as the protocol allows, less a
+	// random part, so that the calls of a fleet do not fall together.
+	watchWait   = 60 * time.Second
+	watchSpread = 6 * time.Second
+	// A call is worked through in turn; one that has had no answer by now is lost.
+	callWait     = 5 * time.Second
+	callConnect  = time.Second
+	mostListSize = 16 << 20
+)
+
+// entry is a server in a list: what the module is told, and where to dial it.
+type entry struct {
+	decide.Server
+	address string
+}
+
+// list is one answer of discovery.
+type list struct {
+	generation uint64
+	whole      bool
+	entries    []entry
+}
+
+// servers is the list in the module's form.
+func (l *list) servers() []decide.Server {
+	servers := make([]decide.Server, len(l.entries))
+	for i := range l.entries {
+		servers[i] = l.entries[i].Server
+	}
+	return servers
+}
+
+// parseList reads a list in discovery's form. Whatever is missing or odd makes
+// the whole list malformed: half a list would drop the servers of the other half.
+func parseList(text []byte) (*list, error) {
+	var raw struct {
+		Generation *uint64 `json:"generation"`
+		Reset      bool    `json:"reset"`
+		Instances  *[]struct {
+			ID        string  `json:"instanceId"`
+			HostPort  string  `json:"hostPort"`
+			Zone      string  `json:"zone"`
+			Cell      int     `json:"cell"`
+			Lifecycle string  `json:"lifecycle"`
+			Weight    float64 `json:"weight"`
+			StartedMs int64   `json:"startedAtMs"`
+		} `json:"instances"`
+	}
+	if err := json.Unmarshal(text, &raw); err != nil {
+		return nil, fmt.Errorf("malformed list: %w", err)
+	}
+	if raw.Generation == nil || raw.Instances == nil {
+		return nil, errors.New("malformed list: no generation or no instances")
+	}
+	l := &list{generation: *raw.Generation, whole: raw.Reset, entries: make([]entry, 0, len(*raw.Instances))}
+	for _, r := range *raw.Instances {
+		e := entry{
+			Server: decide.Server{
+				ID: r.ID, Zone: r.Zone, Cell: r.Cell, Weight: r.Weight,
+				Started: time.Duration(r.StartedMs) * time.Millisecond,
+			},
+			address: r.HostPort,
+		}
+		switch r.Lifecycle {
+		case "SERVING":
+			e.Health = decide.Healthy
+		case "DRAINING":
+			e.Health = decide.Draining
+		case "DELETED":
+			e.Health = decide.Removed
+		default:
+			return nil, fmt.Errorf("malformed list: unknown lifecycle %q", r.Lifecycle)
+		}
+		if r.ID == "" {
+			return nil, errors.New("malformed list: an instance has no id")
+		}
+		if _, _, err := net.SplitHostPort(r.HostPort); err != nil && e.Health != decide.Removed {
+			return nil, fmt.Errorf("malformed list: instance %s: %w", r.ID, err)
+		}
+		l.entries = append(l.entries, e)
+	}
+	return l, nil
+}
+
+// discovery makes the calls for the list of servers that the module asks for.
+type discovery struct {
+	address string
+	client  *http.Client
+	log     *slog.Logger
+	watch   chan bool     // on or off, the newest counts
+	fetch   chan struct{} // one call for the whole list
+	report  func(*list)   // called with each answer; nil: a call failed
+}
+
+func newDiscovery(address string, log *slog.Logger, report func(*list)) *discovery {
+	return &discovery{
+		address: address,
+		client: &http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: callConnect}).DialContext,
+			DisableCompression:  true,
+			MaxIdleConnsPerHost: 1,
+			MaxConnsPerHost:     2, // a watch and a fetch
+		}},
+		log:    log,
+		watch:  make(chan bool, 1),
+		fetch:  make(chan struct{}, 1),
+		report: report,
+	}
+}
+
+// setWatch turns the watch on or off. It does not block; only the loop calls it.
+func (d *discovery) setWatch(on bool) {
+	select {
+	case <-d.watch:
+	default:
+	}
+	d.watch <- on
+}
+
+// askOnce asks for the whole list. It does not block; only the loop calls it.
+func (d *discovery) askOnce() {
+	select {
+	case d.fetch <- struct{}{}:
+	default: // one is waiting already
+	}
+}
+
+// runFetches makes single calls until the context ends.
+func (d *discovery) runFetches(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.fetch:
+		}
+		l, err := d.call(ctx, "", callWait)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			d.log.Warn("asking for the list failed", "err", err)
+		}
+		d.report(l)
+	}
+}
+
+// runWatch keeps the watch, while it is wanted, until the context ends. A call
+// that fails ends the watch: the module decides when to ask again.
+func (d *discovery) runWatch(ctx context.Context, since *uint64) {
+	on := false
+	for {
+		if on {
+			on, since = d.watchOnce(ctx, since)
+		} else {
+			select {
+			case on = <-d.watch:
+			case <-ctx.Done():
+			}
+		}
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// watchOnce makes one call of a watch, and returns whether the watch goes on and
+// the generation to ask from. Turning the watch off ends the call.
+func (d *discovery) watchOnce(ctx context.Context, since *uint64) (bool, *uint64) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	off := make(chan bool, 1)
+	go func() { // ends with this call
+		for {
+			select {
+			case on := <-d.watch:
+				if !on {
+					off <- true
+					cancel()
+					return
+				}
+			case <-ctx.Done():
+				off <- false
+				return
+			}
+		}
+	}()
+	query, wait := "", callWait
+	if since != nil {
+		long := watchWait - rand.N(watchSpread)
+		query, wait = fmt.Sprintf("?since=%d&timeout_ms=%d", *since, long.Milliseconds()), long+callWait
+	}
+	l, err := d.call(ctx, query, wait)
+	cancel()
+	if <-off {
+		return false, since
+	}
+	if err != nil {
+		d.log.Warn("the watch failed", "err", err)
+		d.report(nil)
+		return false, since
+	}
+	d.report(l)
+	return true, &l.generation
+}
+
+func (d *discovery) call(ctx context.Context, query string, wait time.Duration) (*list, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.address+"/v1/endpoints"+query, nil)
+	if err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, mostListSize))
+	if err != nil {
+		return nil, fmt.Errorf("discovery: reading the list: %w", err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("discovery answered %s", resp.Status)
+	}
+	l, err := parseList(text)
+	if err == nil && query == "" && !l.whole {
+		err = errors.New("malformed list: asked for the whole, got changes")
+	}
+	if err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
+	return l, nil
+}
--- /dev/null
+++ b/internal/node/loop.go
@@ -0,0 +1,399 @@
+package node
+
+import (
+	"container/heap"
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"curlewring/decide"
+)
+
+const (
+	// The module is told of a little less time than the client has, so that the
+	// last byte of its answer is out in time; what it still holds then is failed
+	// by the loop.
+	answerMargin = 10 * time.Millisecond
+	safetyMargin = 5 * time.Millisecond
+	sweepEvery   = time.Second
+)
+
+// ending is how a request ended.
+type ending int
+
+const (
+	served  ending = iota
+	refused        // trying again is harmless
+	failed
+	overdue // failed by the loop: the module had no answer in time
+)
+
+// answer is the final answer to a request.
+type answer struct {
+	ending
+	response   *response     // served
+	retryAfter time.Duration // refused; 0: no advice
+}
+
+// pending is a request that has no final answer yet, or attempts still out.
+type pending struct {
+	call     *call
+	request  decide.Request
+	deadline time.Duration // the client waits no longer
+	answer   chan answer   // has room for the one answer
+	answered bool
+	attempts []*attempt
+	out      int // attempts without an outcome
+}
+
+// attempt is one send of a request.
+type attempt struct {
+	pending *pending
+	number  int
+	server  string
+	cancel  context.CancelFunc
+}
+
+// Events of the loop, besides timers.
+type (
+	arrived  struct{ *pending }
+	departed struct{ *pending }
+	ended    struct {
+		*attempt
+		result   decide.Result
+		response *response
+		elapsed  time.Duration
+	}
+	listed  struct{ *list } // nil: a call failed
+	closing struct{}        // the node ends: fail what is left
+)
+
+// loop is the sole owner of the module. It takes events in, carries out the
+// actions that come of them, and never waits for a socket.
+type loop struct {
+	clock     clock
+	set       *decide.Settings
+	balancer  *decide.Balancer
+	upstream  *upstream
+	discovery *discovery
+	log       *slog.Logger
+
+	ctx    context.Context // set before the loop runs; it ends the loop and all attempts
+	events chan any
+	ready  atomic.Bool // there is a server to send to
+
+	// What follows belongs to the goroutine in run.
+	now     time.Duration
+	tries   sync.WaitGroup
+	nextID  uint64
+	pending map[uint64]*pending
+	peers   map[string]*peer
+	started map[string]time.Duration
+	timers  timers
+	actions []decide.Action
+	unsent  []ended // outcomes of sends that could not be made
+}
+
+func newLoop(c *Config, clock clock, up *upstream, log *slog.Logger) *loop {
+	return &loop{
+		clock: clock, set: &c.Settings, upstream: up, log: log,
+		balancer: decide.New(c.Settings, c.Seed, clock.now()),
+		events:   make(chan any, 256),
+		pending:  map[uint64]*pending{},
+		peers:    map[string]*peer{},
+		started:  map[string]time.Duration{},
+	}
+}
+
+// post hands an event to the loop. It returns without doing so once the loop has ended.
+func (l *loop) post(event any) {
+	select {
+	case l.events <- event:
+	case <-l.ctx.Done():
+	}
+}
+
+// run handles events until the context ends, and then waits for the attempts it started.
+func (l *loop) run(known *list) {
+	defer l.tries.Wait()
+	stored := &list{}
+	if known != nil {
+		stored = known
+	}
+	l.now = l.clock.now()
+	l.members(stored, decide.ListStored)
+	l.after(sweepEvery, timer{sweep: true})
+	alarm := time.NewTimer(0)
+	defer alarm.Stop()
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case e := <-l.events:
+			l.now = l.clock.now()
+			l.handle(e)
+		case <-alarm.C:
+		}
+		l.now = l.clock.now()
+		for len(l.timers) > 0 && l.timers[0].at <= l.now {
+			l.due(heap.Pop(&l.timers).(timer))
+		}
+		if len(l.timers) > 0 {
+			alarm.Reset(l.timers[0].at - l.clock.now())
+		}
+	}
+}
+
+// handle takes one event.
+func (l *loop) handle(e any) {
+	switch e := e.(type) {
+	case arrived:
+		l.arrive(e.pending)
+	case departed:
+		if p := e.pending; !p.answered {
+			p.answered = true
+			l.leave(p)
+		}
+	case ended:
+		l.end(e)
+	case closing:
+		for _, p := range l.pending { // in any order: nothing follows from one to the next
+			l.expire(p)
+		}
+	case listed:
+		switch {
+		case e.list == nil:
+			l.carryOut(l.balancer.Members(l.now, decide.Members{Change: decide.ListFailed}, l.actions[:0]))
+		case e.list.whole:
+			l.members(e.list, decide.ListFull)
+		default:
+			l.members(e.list, decide.ListDiff)
+		}
+	}
+}
+
+// arrive gives a request to the module.
+func (l *loop) arrive(p *pending) {
+	if l.set.MaxHeld > 0 && len(l.pending) >= l.set.MaxHeld {
+		p.answered = true
+		p.answer <- answer{ending: refused}
+		return
+	}
+	p.request.ID = l.nextID
+	l.nextID++
+	p.request.TTL = max(0, p.deadline-answerMargin-l.now)
+	l.pending[p.request.ID] = p
+	l.carryOut(l.balancer.Request(l.now, p.request, l.actions[:0]))
+	if !p.answered {
+		l.at(p.deadline-safetyMargin, timer{overdue: p})
+	}
+}
+
+// leave tells the module that a request is over, whatever it holds, and calls
+// its attempts off.
+func (l *loop) leave(p *pending) {
+	l.carryOut(l.balancer.Gone(l.now, decide.Gone{Request: p.request.ID}, l.actions[:0]))
+	l.forget(p)
+}
+
+// expire fails a request in the module's place.
+func (l *loop) expire(p *pending) {
+	if !p.answered {
+		l.finish(p, answer{ending: overdue})
+		l.leave(p)
+	}
+}
+
+// finish gives a request its final answer, unless it has one.
+func (l *loop) finish(p *pending, a answer) {
+	if p == nil || p.answered {
+		return
+	}
+	p.answered = true
+	p.answer <- a
+	l.forget(p)
+}
+
+// forget drops a request that is answered and has nothing out. Its timer may be
+// set for seconds yet, and must not hold its body for so long.
+func (l *loop) forget(p *pending) {
+	if p.answered && p.out == 0 {
+		delete(l.pending, p.request.ID)
+		p.call = nil
+	}
+}
+
+// end takes the outcome of an attempt.
+func (l *loop) end(e ended) {
+	p := e.attempt.pending
+	e.cancel()
+	p.out--
+	if e.result == decide.Served {
+		l.finish(p, answer{ending: served, response: e.response})
+	}
+	final := p.answered
+	l.forget(p)
+	l.carryOut(l.balancer.Outcome(l.now, decide.Outcome{
+		Request: p.request.ID, Attempt: e.number, Server: e.server, Result: e.result,
+		Elapsed: e.elapsed, Final: final,
+	}, l.actions[:0]))
+}
+
+// members takes a list of servers and tells the module.
+func (l *loop) members(m *list, change decide.Change) {
+	if change != decide.ListDiff {
+		named := make(map[string]bool, len(m.entries))
+		for i := range m.entries {
+			named[m.entries[i].ID] = true
+		}
+		for id, p := range l.peers {
+			if !named[id] {
+				l.remove(p)
+			}
+		}
+	}
+	for i := range m.entries {
+		e := &m.entries[i]
+		p := l.peers[e.ID]
+		if p != nil && (e.Health == decide.Removed || e.address != p.address || e.Started > l.started[e.ID]) {
+			// What is on its way to the old process or address is for it alone.
+			l.remove(p)
+			p = nil
+		}
+		if e.Health == decide.Removed {
+			continue
+		}
+		if p == nil {
+			p = &peer{id: e.ID, address: e.address}
+			l.peers[e.ID], l.started[e.ID] = p, e.Started
+		}
+		if p.closed.Store(e.Health != decide.Healthy); p.closed.Load() {
+			l.upstream.hangUp(e.ID)
+		}
+	}
+	sendable := false
+	for _, p := range l.peers {
+		sendable = sendable || !p.closed.Load()
+	}
+	l.ready.Store(sendable)
+	l.carryOut(l.balancer.Members(l.now, decide.Members{Change: change, Servers: m.servers()}, l.actions[:0]))
+}
+
+// remove stops all that is on its way to a server and closes its idle connections.
+func (l *loop) remove(p *peer) {
+	p.closed.Store(true)
+	l.upstream.hangUp(p.id)
+	delete(l.peers, p.id)
+	delete(l.started, p.id)
+}
+
+// carryOut does what the module wants done.
+func (l *loop) carryOut(actions []decide.Action) {
+	for i := range actions {
+		a := &actions[i]
+		p := l.pending[a.Request]
+		switch a.Kind {
+		case decide.Send:
+			l.send(p, a)
+		case decide.Refuse:
+			l.finish(p, answer{ending: refused, retryAfter: a.Wait})
+		case decide.Fail:
+			l.finish(p, answer{ending: failed})
+		case decide.Cancel:
+			if p != nil && a.Attempt < len(p.attempts) {
+				p.attempts[a.Attempt].cancel()
+			}
+		case decide.Watch:
+			l.discovery.setWatch(true)
+		case decide.Unwatch:
+			l.discovery.setWatch(false)
+		case decide.Fetch:
+			l.discovery.askOnce()
+		case decide.HangUp:
+			l.upstream.hangUp(a.Server)
+		case decide.After:
+			l.after(a.Wait, timer{token: a.Token})
+		case decide.Log:
+			l.log.Info("module", "text", a.Text)
+		default:
+			l.log.Warn("the module wants what this node can't do", "action", a.Kind)
+		}
+	}
+	l.actions = actions
+	for len(l.unsent) > 0 { // told only now: the module's handlers do not nest
+		e := l.unsent[0]
+		l.unsent = l.unsent[1:]
+		l.end(e)
+	}
+}
+
+// send starts an attempt.
+func (l *loop) send(p *pending, a *decide.Action) {
+	if p == nil {
+		l.log.Warn("the module sends for a request that is over", "request", a.Request)
+		return
+	}
+	ctx, cancel := context.WithCancel(l.ctx)
+	t := &attempt{pending: p, number: len(p.attempts), server: a.Server, cancel: cancel}
+	p.attempts = append(p.attempts, t)
+	p.out++
+	server := l.peers[a.Server]
+	if server == nil || p.answered {
+		l.unsent = append(l.unsent, ended{attempt: t, result: decide.NotSent})
+		return
+	}
+	sent, call := l.now, p.call
+	until := min(sent+a.Wait, p.deadline-safetyMargin)
+	l.tries.Go(func() {
+		result, resp := l.upstream.attempt(ctx, server, call, until)
+		l.post(ended{attempt: t, result: result, response: resp, elapsed: l.clock.now() - sent})
+	})
+}
+
+// timer is something to do later: one of the module's, a request's end, or a sweep.
+type timer struct {
+	at      time.Duration
+	token   uint64
+	overdue *pending
+	sweep   bool
+}
+
+func (l *loop) after(wait time.Duration, t timer) { l.at(l.now+max(0, wait), t) }
+
+func (l *loop) at(at time.Duration, t timer) {
+	t.at = at
+	heap.Push(&l.timers, t)
+}
+
+// due handles a timer.
+func (l *loop) due(t timer) {
+	switch {
+	case t.sweep:
+		l.upstream.sweep(false)
+		l.after(sweepEvery, t)
+	case t.overdue != nil:
+		if p := t.overdue; !p.answered {
+			l.log.Warn("a request was overdue", "class", p.request.Class, "attempts", len(p.attempts), "out", p.out)
+			l.expire(p)
+		}
+	default:
+		l.carryOut(l.balancer.Timer(l.now, decide.Timer{Token: t.token}, l.actions[:0]))
+	}
+}
+
+// timers is a heap, the earliest first.
+type timers []timer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].at < t[j].at }
+func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	old := *t
+	x := old[len(old)-1]
+	old[len(old)-1] = timer{}
+	*t = old[:len(old)-1]
+	return x
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,122 @@
+// Package node puts the decisions of package decide on real sockets: it takes
+// requests from clients, makes attempts at servers, follows discovery, and
+// leaves every choice to the module.
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// After the word to end, new connections go on coming for up to 0.4 s.
+	newcomersFor = 600 * time.Millisecond
+	quietFor     = 200 * time.Millisecond
+	// The kill comes no sooner than the longest deadline, of which this is the
+	// most, and 0.7 s more.
+	longestWait = 3 * time.Second
+	lastMargin  = 300 * time.Millisecond
+)
+
+// Node is one real node.
+type Node struct {
+	config   *Config
+	log      *slog.Logger
+	clock    clock
+	upstream *upstream
+	loop     *loop
+	callers  *callers
+	listener net.Listener
+}
+
+// New makes a node and binds its address.
+func New(c *Config, log *slog.Logger) (*Node, error) {
+	n := &Node{config: c, log: log, clock: newClock()}
+	sockets := newSockets(c.Sockets)
+	n.upstream = newUpstream(n.clock, sockets, &c.Settings)
+	n.loop = newLoop(c, n.clock, n.upstream, log)
+	n.loop.discovery = newDiscovery(c.Discovery, log, func(l *list) { n.loop.post(listed{l}) })
+	n.callers = newCallers(c, n.clock, n.loop, sockets, log)
+	var err error
+	if n.listener, err = net.Listen("tcp", c.Listen); err != nil {
+		return nil, fmt.Errorf("listening: %w", err)
+	}
+	return n, nil
+}
+
+// Address is where clients connect.
+func (n *Node) Address() net.Addr { return n.listener.Addr() }
+
+// Run serves until the context ends, and then until what has come is answered.
+func (n *Node) Run(ctx context.Context) error {
+	inner, stop := context.WithCancel(context.Background())
+	n.loop.ctx = inner
+	var parts sync.WaitGroup
+	defer parts.Wait()
+	defer stop()
+	parts.Go(func() { n.loop.run(n.config.Known) })
+	var since *uint64
+	if n.config.Known != nil {
+		since = &n.config.Known.generation
+	}
+	parts.Go(func() { n.loop.discovery.runWatch(inner, since) })
+	parts.Go(func() { n.loop.discovery.runFetches(inner) })
+
+	broke := make(chan error, 1)
+	parts.Go(func() {
+		broke <- n.callers.server.Serve(&listener{n.listener, n.callers, n.upstream.relieve})
+	})
+	select {
+	case err := <-broke:
+		return fmt.Errorf("serving: %w", err)
+	case <-ctx.Done():
+	}
+	err := n.leave()
+	n.upstream.sweep(true)
+	return err
+}
+
+// leave ends the service in order. Closing the listener at once would reset the
+// connections that wait in its backlog.
+func (n *Node) leave() error {
+	begun := n.clock.now()
+	n.log.Info("ending")
+	n.callers.leaving.Store(true)
+	longest := time.Duration(0)
+	for _, c := range n.config.Settings.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	last := begun + min(longest, longestWait) + lastMargin
+	for {
+		now := n.clock.now()
+		quietAt := max(begun+newcomersFor, time.Duration(n.callers.accepted.Load())+quietFor)
+		if now >= min(quietAt, last) {
+			break
+		}
+		time.Sleep(min(quietAt, last) - now)
+	}
+	// Idle connections close now, and those in use with their answer.
+	ctx, cancel := context.WithTimeout(context.Background(), last-n.clock.now())
+	defer cancel()
+	err := n.callers.server.Shutdown(ctx)
+	if !errors.Is(err, context.DeadlineExceeded) {
+		return err
+	}
+	// What is left has no time: it gets its answer from the loop, and a moment to leave.
+	n.loop.post(closing{})
+	ctx, cancel = context.WithTimeout(context.Background(), lastMargin/2)
+	defer cancel()
+	if err := n.callers.server.Shutdown(ctx); err != nil {
+		n.callers.server.Close()
+		if !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, http.ErrServerClosed) {
+			return fmt.Errorf("ending: %w", err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/node/upstream.go
@@ -0,0 +1,326 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"curlewring/decide"
+)
+
+const mostBody = 64 << 10
+
+// peer is a server as the loop knows it, for the attempts that are on their way
+// to it.
+type peer struct {
+	id      string
+	address string      // fixed: a server that moves gets a new peer
+	closed  atomic.Bool // drains or is gone: nothing new may be sent
+}
+
+// call is a request as its client sent it.
+type call struct {
+	method, uri, host string
+	txn, key          string // X-Txn and Idempotency-Key
+	kind              string // Content-Type
+	body              []byte
+}
+
+// response is the body of a server's answer.
+type response struct {
+	kind string // Content-Type
+	body []byte
+}
+
+// upstream makes attempts. It keeps connections to servers, of which each
+// carries one request at a time. net/http's Transport is no use here: it sends
+// requests again by itself, which may let an effect happen twice.
+type upstream struct {
+	clock          clock
+	sockets        *sockets
+	connectTimeout time.Duration
+	idleFor        time.Duration // connections are closed when idle for this
+
+	mu   sync.Mutex
+	idle map[string][]*conn // by server; the last was used last
+}
+
+type conn struct {
+	net.Conn
+	address   string
+	reader    *bufio.Reader
+	raw       syscall.RawConn
+	sockets   *sockets
+	idleSince time.Duration
+}
+
+func (c *conn) close() {
+	c.Conn.Close()
+	c.sockets.give()
+}
+
+// idleMargin is how long before the server's own time a connection is closed,
+// lest a request cross the server's closing on the way.
+const idleMargin = 250 * time.Millisecond
+
+func newUpstream(clock clock, sockets *sockets, set *decide.Settings) *upstream {
+	u := &upstream{
+		clock: clock, sockets: sockets, connectTimeout: set.ConnectTimeout, idleFor: set.ConnIdle,
+		idle: map[string][]*conn{},
+	}
+	if u.connectTimeout <= 0 {
+		u.connectTimeout = time.Second
+	}
+	if u.idleFor <= 0 {
+		u.idleFor = 10 * time.Second
+	}
+	u.idleFor -= min(idleMargin, u.idleFor/10)
+	return u
+}
+
+// get returns the connection to a server that was used last, or nil.
+func (u *upstream) get(p *peer) *conn {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for {
+		stack := u.idle[p.id]
+		if len(stack) == 0 {
+			return nil
+		}
+		c := stack[len(stack)-1]
+		u.idle[p.id] = stack[:len(stack)-1]
+		if c.address == p.address && u.clock.now()-c.idleSince < u.idleFor && c.alive() {
+			return c
+		}
+		c.close()
+	}
+}
+
+// put keeps a connection for the next request.
+func (u *upstream) put(p *peer, c *conn) {
+	c.idleSince = u.clock.now()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if p.closed.Load() {
+		c.close()
+		return
+	}
+	u.idle[p.id] = append(u.idle[p.id], c)
+}
+
+// hangUp closes the idle connections to a server.
+func (u *upstream) hangUp(id string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, c := range u.idle[id] {
+		c.close()
+	}
+	delete(u.idle, id)
+}
+
+// sweep closes the connections that have idled for too long, and all of them at the end.
+func (u *upstream) sweep(all bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := u.clock.now()
+	for id, stack := range u.idle {
+		old := 0
+		for old < len(stack) && (all || now-stack[old].idleSince >= u.idleFor) {
+			stack[old].close()
+			old++
+		}
+		if u.idle[id] = append(stack[:0], stack[old:]...); len(u.idle[id]) == 0 {
+			delete(u.idle, id)
+		}
+	}
+}
+
+// relieve closes the connection that has idled longest, to make room for another.
+func (u *upstream) relieve() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	oldest := ""
+	for id, stack := range u.idle {
+		if len(stack) > 0 && (oldest == "" || stack[0].idleSince < u.idle[oldest][0].idleSince) {
+			oldest = id
+		}
+	}
+	if oldest == "" {
+		return false
+	}
+	u.idle[oldest][0].close()
+	u.idle[oldest] = u.idle[oldest][1:]
+	return true
+}
+
+// alive tells whether an idle connection has nothing to read, not even its end.
+func (c *conn) alive() bool {
+	quiet := false
+	err := c.raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+		return true
+	})
+	return err == nil && quiet
+}
+
+// dial opens a connection to a server.
+func (u *upstream) dial(ctx context.Context, p *peer, until time.Duration) (*conn, error) {
+	for !u.sockets.take() {
+		if !u.relieve() {
+			return nil, fmt.Errorf("dialing %s: no socket left", p.id)
+		}
+	}
+	dialer := net.Dialer{Timeout: min(u.connectTimeout, until-u.clock.now()), KeepAlive: -1}
+	if dialer.Timeout <= 0 {
+		u.sockets.give()
+		return nil, fmt.Errorf("dialing %s: no time left", p.id)
+	}
+	nc, err := dialer.DialContext(ctx, "tcp", p.address)
+	if err != nil {
+		u.sockets.give()
+		return nil, fmt.Errorf("dialing %s: %w", p.id, err)
+	}
+	raw, err := nc.(syscall.Conn).SyscallConn()
+	if err != nil {
+		nc.Close()
+		u.sockets.give()
+		return nil, fmt.Errorf("dialing %s: %w", p.id, err)
+	}
+	return &conn{Conn: nc, address: p.address, reader: bufio.NewReader(nc), raw: raw, sockets: u.sockets}, nil
+}
+
+// attempt sends a request to a server once and waits for the answer until a
+// point in time. Ending the context calls the attempt off.
+func (u *upstream) attempt(ctx context.Context, p *peer, q *call, until time.Duration) (decide.Result, *response) {
+	c := u.get(p)
+	if c == nil {
+		var err error
+		if c, err = u.dial(ctx, p, until); err != nil {
+			if ctx.Err() != nil {
+				return decide.NotSent, nil
+			}
+			return decide.Unconnected, nil
+		}
+	}
+	keep := false
+	defer func() {
+		if keep {
+			u.put(p, c)
+		} else {
+			c.close()
+		}
+	}()
+	// The connection may have taken a while: the server may drain by now, and
+	// the request may be over.
+	if ctx.Err() != nil || p.closed.Load() {
+		return decide.NotSent, nil
+	}
+	c.SetDeadline(u.clock.wall(until))
+	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+
+	left := until - u.clock.now()
+	if left <= 0 {
+		return decide.NotSent, nil
+	}
+	message, err := q.encode(p.address, left)
+	if err != nil {
+		return decide.Unconnected, nil
+	}
+	if n, _ := c.Write(message); n < len(message) { // its last byte never left, so it can't run
+		if ctx.Err() != nil {
+			return decide.NotSent, nil
+		}
+		return decide.Unconnected, nil
+	}
+	resp, body, err := c.read(q.method)
+	if err != nil {
+		switch {
+		case ctx.Err() != nil:
+			return decide.Cancelled, nil
+		case isTimeout(err):
+			return decide.TimedOut, nil
+		}
+		return decide.Broken, nil
+	}
+	// Only a call-off that has not begun leaves the connection as it was.
+	keep = !resp.Close && c.reader.Buffered() == 0 && stop()
+	switch {
+	case resp.StatusCode == http.StatusOK:
+		return decide.Served, &response{kind: resp.Header.Get("Content-Type"), body: body}
+	case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
+		resp.Header.Get("X-Turned-Away") == "1":
+		return decide.Full, nil
+	}
+	return decide.Errored, nil
+}
+
+// encode writes the request out, to be sent in one piece.
+func (q *call) encode(address string, left time.Duration) ([]byte, error) {
+	req := http.Request{
+		Method: q.method,
+		URL:    &url.URL{Opaque: q.uri}, // as it came, byte for byte
+		Host:   cmp.Or(q.host, address),
+		Header: http.Header{
+			"User-Agent":     {""}, // none
+			"X-Txn":          {q.txn},
+			"X-Remaining-Ms": {strconv.FormatInt(max(1, left.Milliseconds()), 10)},
+		},
+		Body:          http.NoBody,
+		ContentLength: int64(len(q.body)),
+	}
+	if q.key != "" {
+		req.Header["Idempotency-Key"] = []string{q.key}
+	}
+	if q.kind != "" {
+		req.Header["Content-Type"] = []string{q.kind}
+	}
+	if len(q.body) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(q.body))
+	}
+	var message bytes.Buffer
+	message.Grow(512 + len(q.body))
+	if err := req.Write(&message); err != nil {
+		return nil, fmt.Errorf("encoding a request: %w", err)
+	}
+	return message.Bytes(), nil
+}
+
+// read takes a whole answer off the connection.
+func (c *conn) read(method string) (*http.Response, []byte, error) {
+	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	for err == nil && resp.StatusCode < http.StatusOK { // an interim answer
+		resp, err = http.ReadResponse(c.reader, &http.Request{Method: method})
+	}
+	if err != nil {
+		return nil, nil, fmt.Errorf("reading the answer: %w", err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, mostBody+1))
+	if err != nil {
+		return nil, nil, fmt.Errorf("reading the answer: %w", err)
+	}
+	if len(body) > mostBody {
+		return nil, nil, fmt.Errorf("the answer is larger than %d bytes", mostBody)
+	}
+	return resp, body, nil
+}
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
