Test the node over loopback sockets; half-close clients' connections

Seen in the new tests: a request that net/http gives up reading (headers too large) ended in a reset instead of its 431. Cause: clientConn embedded net.Conn, so the server did not find CloseWrite and closed with bytes unread. Ruled out: the client's own close (it still waited). Also seen: an answer to a request that came before SIGTERM lacked Connection: close (the header was set on arrival; now at the answer), and net/http answered OPTIONS * with a 200 of its own (switched off).

--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -51,7 +51,9 @@
 		ReadHeaderTimeout: headerWait,
 		IdleTimeout:       5 * time.Minute, // clients keep their connections
 		MaxHeaderBytes:    mostHeader,
-		ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelWarn),
+		// An answer of its own to OPTIONS * would stand for a server's.
+		DisableGeneralOptionsHandler: true,
+		ErrorLog:                     slog.NewLogLogger(log.Handler(), slog.LevelWarn),
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, crowdedKey{}, c.(*clientConn).crowded)
 		},
@@ -66,7 +68,7 @@
 func (s *callers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := s.clock.now()
 	crowded, _ := r.Context().Value(crowdedKey{}).(bool)
-	if crowded || s.leaving.Load() {
+	if crowded {
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == "/ready" {
@@ -79,6 +81,7 @@
 	}
 	p, status, why := s.parse(w, r, now)
 	if p == nil {
+		s.partIfLeaving(w)
 		reply(w, status, why)
 		return
 	}
@@ -91,6 +94,7 @@
 	s.loop.post(arrived{p})
 	select {
 	case a := <-p.answer:
+		s.partIfLeaving(w)
 		s.write(w, a)
 	case <-r.Context().Done():
 		s.loop.post(departed{p})
@@ -101,6 +105,14 @@
 	control.SetWriteDeadline(time.Time{})
 }
 
+// partIfLeaving closes the connection with the answer once a planned end has
+// begun. It looks at the time of the answer: the request may have come before.
+func (s *callers) partIfLeaving(w http.ResponseWriter) {
+	if s.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // write passes the final answer on.
 func (s *callers) write(w http.ResponseWriter, a answer) {
 	switch a.ending {
@@ -202,9 +214,11 @@
 	return p, 0, ""
 }
 
-// clientConn gives its place in the budget back when it closes.
+// clientConn gives its place in the budget back when it closes. It is a whole
+// TCP connection to the server above it, which half-closes one after a request
+// that it can't read to its end: the answer would else be lost in a reset.
 type clientConn struct {
-	net.Conn
+	*net.TCPConn
 	sockets *sockets
 	crowded bool
 	closed  atomic.Bool
@@ -214,13 +228,13 @@
 	if c.closed.CompareAndSwap(false, true) {
 		defer c.sockets.give()
 	}
-	return c.Conn.Close()
+	return c.TCPConn.Close()
 }
 
 // listener books clients' connections. One over the budget takes the place of
 // an idle connection to a server, or has its requests refused.
 type listener struct {
-	net.Listener
+	*net.TCPListener
 	callers *callers
 	relieve func() bool
 }
@@ -231,7 +245,7 @@
 			time.Sleep(time.Millisecond)
 		}
 	}
-	c, err := l.Listener.Accept()
+	c, err := l.AcceptTCP()
 	if err != nil {
 		return nil, err
 	}
@@ -240,5 +254,5 @@
 	s.sockets.force()
 	for s.sockets.over() && l.relieve() {
 	}
-	return &clientConn{Conn: c, sockets: s.sockets, crowded: s.sockets.over()}, nil
+	return &clientConn{TCPConn: c, sockets: s.sockets, crowded: s.sockets.over()}, nil
 }
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -20,7 +20,7 @@
 	// call costs some: a watch waits as long as the protocol allows, less a
 	// random part, so that the calls of a fleet do not fall together.
 	watchWait   = 60 * time.Second
-	watchSpread = 6 * time.Second
+	watchSpread = 10 // up to one part in so many
 	// A call is worked through in turn; one that has had no answer by now is lost.
 	callWait     = 5 * time.Second
 	callConnect  = time.Second
@@ -109,6 +109,8 @@
 	watch   chan bool     // on or off, the newest counts
 	fetch   chan struct{} // one call for the whole list
 	report  func(*list)   // called with each answer; nil: a call failed
+	long    time.Duration // how long a watch may wait
+	patient time.Duration // how long a call may take besides
 }
 
 func newDiscovery(address string, log *slog.Logger, report func(*list)) *discovery {
@@ -124,6 +126,7 @@
 		watch:  make(chan bool, 1),
 		fetch:  make(chan struct{}, 1),
 		report: report,
+		long:   watchWait, patient: callWait,
 	}
 }
 
@@ -152,7 +155,7 @@
 			return
 		case <-d.fetch:
 		}
-		l, err := d.call(ctx, "", callWait)
+		l, err := d.call(ctx, "", d.patient)
 		if ctx.Err() != nil {
 			return
 		}
@@ -203,10 +206,10 @@
 			}
 		}
 	}()
-	query, wait := "", callWait
+	query, wait := "", d.patient
 	if since != nil {
-		long := watchWait - rand.N(watchSpread)
-		query, wait = fmt.Sprintf("?since=%d&timeout_ms=%d", *since, long.Milliseconds()), long+callWait
+		long := d.long - rand.N(d.long/watchSpread)
+		query, wait = fmt.Sprintf("?since=%d&timeout_ms=%d", *since, long.Milliseconds()), long+d.patient
 	}
 	l, err := d.call(ctx, query, wait)
 	cancel()
--- /dev/null
+++ b/internal/node/discovery_test.go
@@ -0,0 +1,136 @@
+package node
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"curlewring/decide"
+)
+
+// Each watch must ask from the generation of the last answer, or changes in
+// between are missed, and must follow at once: a later call is a new watch.
+func TestWatchGoesOn(t *testing.T) {
+	s, moved := newServer(t, say("first")), newServer(t, say("second"))
+	d := newDiscoveryService(t)
+	n := startNode(t, testConfig(t, d.Listener.Addr().String(), listOf(41, true, s.addr()), 1024))
+	waitFor(t, "the watch begins", func() bool { return d.calls() == 1 })
+	if q := d.query(0); !strings.HasPrefix(q, "since=41&timeout_ms=") {
+		t.Errorf("the watch asks %q, want changes since the known list", q)
+	}
+	d.tell(t, listOf(43, false))
+	waitFor(t, "the watch goes on", func() bool { return d.calls() == 2 })
+	if q := d.query(1); !strings.HasPrefix(q, "since=43&") {
+		t.Errorf("the watch goes on with %q", q)
+	}
+	if _, body := exchange(t, request(t, n.url, "/look/1", "")); body != "first" {
+		t.Errorf("answered %q", body)
+	}
+	// The same server at another address: dialed there, also where connections to the old one are idle.
+	d.tell(t, listOf(44, false, moved.addr()))
+	waitFor(t, "the watch goes on", func() bool { return d.calls() == 3 })
+	waitFor(t, "the move is known", func() bool {
+		_, body := exchange(t, request(t, n.url, "/look/1", ""))
+		return body == "second"
+	})
+}
+
+// A malformed list is a failed call. It must never be taken for an empty fleet,
+// or for a part of one.
+func TestMalformedListIsAFailedCall(t *testing.T) {
+	s := newServer(t, say("fine"))
+	for i, list := range []string{
+		"", "{", "{}", "[]", "null", `{"generation":2,"reset":true}`, `{"reset":true,"instances":[]}`,
+		`{"generation":2,"reset":true,"instances":[{"hostPort":"127.0.0.1:1","lifecycle":"SERVING"}]}`,
+		strings.Replace(listOf(2, true, s.addr()), "SERVING", "HAPPY", 1),
+		listOf(2, true, "nowhere"),
+	} {
+		t.Run(strconv.Itoa(i), func(t *testing.T) {
+			t.Parallel()
+			d := newDiscoveryService(t)
+			n := startNode(t, testConfig(t, d.Listener.Addr().String(), listOf(1, true, s.addr()), 1024))
+			d.tell(t, list)
+			waitFor(t, "the module asks again", func() bool { return d.calls() == 2 })
+			if resp, body := exchange(t, request(t, n.url, "/look/1", "")); body != "fine" {
+				t.Errorf("after %q: answered %s %q", list, resp.Status, body)
+			}
+			if q := d.query(1); !strings.HasPrefix(q, "since=1&") {
+				t.Errorf("after %q the node asks %q", list, q)
+			}
+		})
+	}
+}
+
+// A watch that stays silent past its time is lost, and must be reported so: the
+// node would else hear of nothing any more.
+func TestSilentWatchFails(t *testing.T) {
+	d := newDiscoveryService(t)
+	reports := make(chan *list, 10)
+	watch := newDiscovery(d.Listener.Addr().String(), quiet(), func(l *list) { reports <- l })
+	watch.long, watch.patient = 50*time.Millisecond, 50*time.Millisecond
+	since := uint64(3)
+	on, from := watch.watchOnce(t.Context(), &since)
+	if on || *from != 3 {
+		t.Errorf("the watch goes on: %v, from %d", on, *from)
+	}
+	if l := <-reports; l != nil {
+		t.Errorf("reported %v", l)
+	}
+}
+
+// Once told that a server drains or is gone, nothing new may go to it, not even
+// an attempt that was on its way: one that waited for its connection, say.
+func TestNothingToADrainingServer(t *testing.T) {
+	for _, state := range []string{"DRAINING", "DELETED"} {
+		t.Run(state, func(t *testing.T) {
+			s, other := newServer(t, say("drains")), newServer(t, say("fine"))
+			d := newDiscoveryService(t)
+			n := startNode(t, testConfig(t, d.Listener.Addr().String(), listOf(1, true, s.addr()), 1024))
+			if _, body := exchange(t, request(t, n.url, "/look/1", "")); body != "drains" {
+				t.Fatalf("answered %q", body)
+			}
+			d.tell(t, listOf(2, false, s.addr()+" "+state, other.addr()))
+			waitFor(t, "the idle connection is closed", func() bool { _, ended := s.connections(); return ended == 1 })
+			before := s.seen()
+			for range 20 {
+				if resp, body := exchange(t, request(t, n.url, "/look/1", "")); body != "fine" {
+					t.Fatalf("answered %s %q", resp.Status, body)
+				}
+			}
+			if s.seen() != before {
+				t.Error("something new went to it")
+			}
+		})
+	}
+}
+
+// Between the module's decision and the first byte a server may have drained and
+// a request may be over. The code looks again before it writes.
+func TestLooksAgainBeforeItWrites(t *testing.T) {
+	s := newServer(t, say("fine"))
+	set := &decide.Settings{ConnectTimeout: patience, ConnIdle: patience}
+	clock, budget := newClock(), newSockets(1024)
+	up := newUpstream(clock, budget, set)
+	q := &call{method: http.MethodGet, uri: "/look/1", host: "app.svc", txn: "1"}
+	p := &peer{id: "s0", address: s.addr()}
+	p.closed.Store(true)
+	if result, _ := up.attempt(t.Context(), p, q, clock.now()+patience); result != decide.NotSent {
+		t.Errorf("to a drained server: %v", result)
+	}
+	p.closed.Store(false)
+	if result, _ := up.attempt(t.Context(), p, q, clock.now()-1); result != decide.Unconnected {
+		t.Errorf("with no time left: %v", result)
+	}
+	if s.seen() != 0 || budget.open.Load() != 0 {
+		t.Errorf("%d requests came, %d sockets are open", s.seen(), budget.open.Load())
+	}
+	if result, resp := up.attempt(t.Context(), p, q, clock.now()+patience); result != decide.Served || string(resp.body) != "fine" {
+		t.Errorf("then: %v", result)
+	}
+	up.sweep(true)
+	if budget.open.Load() != 0 {
+		t.Errorf("%d sockets are left", budget.open.Load())
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,7 +32,7 @@
 	upstream *upstream
 	loop     *loop
 	callers  *callers
-	listener net.Listener
+	listener *net.TCPListener
 }
 
 // New makes a node and binds its address.
@@ -43,8 +43,11 @@
 	n.loop = newLoop(c, n.clock, n.upstream, log)
 	n.loop.discovery = newDiscovery(c.Discovery, log, func(l *list) { n.loop.post(listed{l}) })
 	n.callers = newCallers(c, n.clock, n.loop, sockets, log)
-	var err error
-	if n.listener, err = net.Listen("tcp", c.Listen); err != nil {
+	address, err := net.ResolveTCPAddr("tcp", c.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listening: %w", err)
+	}
+	if n.listener, err = net.ListenTCP("tcp", address); err != nil {
 		return nil, fmt.Errorf("listening: %w", err)
 	}
 	return n, nil
