--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -203,6 +203,21 @@
 	}
 }
 
+// An attempt's deadline must not outlive it: once it had passed, the look at an
+// idle connection before its next use failed, and a good connection was closed.
+func TestDeadlineEndsWithItsAttempt(t *testing.T) {
+	s := newServer(t, say("fine"))
+	n := withServers(t, s)
+	exchange(t, request(t, n.url, "/look/1", "", "X-Remaining-Ms", "1000"))
+	time.Sleep(1100 * time.Millisecond) // until the deadline has surely passed
+	if resp, body := exchange(t, request(t, n.url, "/look/1", "")); body != "fine" {
+		t.Fatalf("answered %s %q", resp.Status, body)
+	}
+	if came, _ := s.connections(); came != 1 {
+		t.Errorf("%d connections for two requests", came)
+	}
+}
+
 // A connection that the server closed while it was idle must not take a
 // request: it would end as a reset, which for an unsafe one means failure.
 func TestConnectionClosedWhileIdle(t *testing.T) {
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -110,6 +110,7 @@
 
 // put keeps a connection for the next request.
 func (u *upstream) put(p *peer, c *conn) {
+	c.SetDeadline(time.Time{}) // once past, it would fail the look that get takes
 	c.idleSince = u.clock.now()
 	u.mu.Lock()
 	defer u.mu.Unlock()
