Tell a half-closed client nothing; hold back attempts of ended requests

Seen in review and then in a test before the change: a client that only ended its sending was told 200 with an empty body, which no server had made. Cause: ServeHTTP returned on the context's end, and net/http answers for a handler that wrote nothing. Now the connection is aborted. Also from review: an attempt still waiting for its connection when its request ended was stopped only where the settings let the module cancel; call.over is now looked at before the first byte, and leave calls all attempts off. The server's WriteTimeout covers what has no deadline of its own; a stale one could have cut a later plain 4xx.

--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -20,6 +20,7 @@
 	headerWait    = 5 * time.Second  // for a request's head, once it has begun
 	mostRemaining = 10 * time.Minute // longer waits are taken for nonsense
 	writeGrace    = time.Second      // after its deadline a client that does not read is cut off
+	writeWait     = 10 * time.Second // the same where no deadline is known
 )
 
 // callers answers the clients.
@@ -50,6 +51,7 @@
 		Handler:           s,
 		ReadHeaderTimeout: headerWait,
 		IdleTimeout:       5 * time.Minute, // clients keep their connections
+		WriteTimeout:      writeWait,       // counted anew with each request
 		MaxHeaderBytes:    mostHeader,
 		// An answer of its own to OPTIONS * would stand for a server's.
 		DisableGeneralOptionsHandler: true,
@@ -85,8 +87,7 @@
 		reply(w, status, why)
 		return
 	}
-	control := http.NewResponseController(w)
-	control.SetWriteDeadline(s.clock.wall(p.deadline + writeGrace))
+	http.NewResponseController(w).SetWriteDeadline(s.clock.wall(p.deadline + writeGrace))
 	if crowded {
 		reply(w, http.StatusTooManyRequests, "too many connections")
 		return
@@ -98,11 +99,12 @@
 		s.write(w, a)
 	case <-r.Context().Done():
 		s.loop.post(departed{p})
-		return
+		// A client that only ended its sending could still read: returning would
+		// tell it 200 with an empty body, which no server made.
+		panic(http.ErrAbortHandler)
 	case <-s.loop.ctx.Done(): // the node ends, and has answered what it could
 		reply(w, http.StatusBadGateway, "the node is ending")
 	}
-	control.SetWriteDeadline(time.Time{})
 }
 
 // partIfLeaving closes the connection with the answer once a planned end has
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -120,6 +120,11 @@
 		t.Errorf("to a drained server: %v", result)
 	}
 	p.closed.Store(false)
+	q.over.Store(true)
+	if result, _ := up.attempt(t.Context(), p, q, clock.now()+patience); result != decide.NotSent {
+		t.Errorf("for a request that is over: %v", result)
+	}
+	q.over.Store(false)
 	if result, _ := up.attempt(t.Context(), p, q, clock.now()-1); result != decide.Unconnected {
 		t.Errorf("with no time left: %v", result)
 	}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -153,7 +153,7 @@
 		l.arrive(e.pending)
 	case departed:
 		if p := e.pending; !p.answered {
-			p.answered = true
+			l.conclude(p)
 			l.leave(p)
 		}
 	case ended:
@@ -195,6 +195,9 @@
 // its attempts off.
 func (l *loop) leave(p *pending) {
 	l.carryOut(l.balancer.Gone(l.now, decide.Gone{Request: p.request.ID}, l.actions[:0]))
+	for _, t := range p.attempts {
+		t.cancel()
+	}
 	l.forget(p)
 }
 
@@ -211,11 +214,17 @@
 	if p == nil || p.answered {
 		return
 	}
-	p.answered = true
+	l.conclude(p)
 	p.answer <- a
 	l.forget(p)
 }
 
+// conclude marks a request as over: no attempt that has not begun goes out for it.
+func (l *loop) conclude(p *pending) {
+	p.answered = true
+	p.call.over.Store(true)
+}
+
 // forget drops a request that is answered and has nothing out. Its timer may be
 // set for seconds yet, and must not hold its body for so long.
 func (l *loop) forget(p *pending) {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -188,6 +188,21 @@
 	}
 }
 
+// A client that only ends its sending has gone away too, though it could still
+// read: it must not be told that it was served.
+func TestClientEndsItsSending(t *testing.T) {
+	s := newServer(t, hang)
+	n := withServers(t, s)
+	c := dialRaw(t, n)
+	c.send(t, rawLook)
+	waitFor(t, "the attempt is out", func() bool { return s.seen() == 1 })
+	c.Conn.(*net.TCPConn).CloseWrite()
+	if rest, _ := io.ReadAll(c.reader); len(rest) > 0 {
+		t.Errorf("was sent %q", rest)
+	}
+	waitFor(t, "the attempt's connection is closed", func() bool { _, ended := s.connections(); return ended == 1 })
+}
+
 // Connections are used again, the last used first, and only after a whole
 // answer: the module counts on it, and each new one costs its server work.
 func TestConnectionsAreReused(t *testing.T) {
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -36,6 +36,7 @@
 	txn, key          string // X-Txn and Idempotency-Key
 	kind              string // Content-Type
 	body              []byte
+	over              atomic.Bool // it has its answer, or its client has left
 }
 
 // response is the body of a server's answer.
@@ -227,7 +228,7 @@
 	}()
 	// The connection may have taken a while: the server may drain by now, and
 	// the request may be over.
-	if ctx.Err() != nil || p.closed.Load() {
+	if ctx.Err() != nil || q.over.Load() || p.closed.Load() {
 		return decide.NotSent, nil
 	}
 	c.SetDeadline(u.clock.wall(until))
