Answer what still comes when the node ends; test the settings

Seen in review: a request that reached the loop after it had failed all that was left, just before SIGKILL, would have been begun and then lost with its connection. It is failed at once now. The loop's context is made in New, so that nothing can be posted before it exists (seen as a panic in the new test).

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -80,13 +80,14 @@
 	discovery *discovery
 	log       *slog.Logger
 
-	ctx    context.Context // set before the loop runs; it ends the loop and all attempts
+	ctx    context.Context // its end ends the loop and all attempts
 	events chan any
 	ready  atomic.Bool // there is a server to send to
 
 	// What follows belongs to the goroutine in run.
 	now     time.Duration
 	tries   sync.WaitGroup
+	closed  bool // the node ends: nothing new is begun
 	nextID  uint64
 	pending map[uint64]*pending
 	peers   map[string]*peer
@@ -96,8 +97,9 @@
 	unsent  []ended // outcomes of sends that could not be made
 }
 
-func newLoop(c *Config, clock clock, up *upstream, log *slog.Logger) *loop {
+func newLoop(ctx context.Context, c *Config, clock clock, up *upstream, log *slog.Logger) *loop {
 	return &loop{
+		ctx:   ctx,
 		clock: clock, set: &c.Settings, upstream: up, log: log,
 		balancer: decide.New(c.Settings, c.Seed, clock.now()),
 		events:   make(chan any, 256),
@@ -159,6 +161,7 @@
 	case ended:
 		l.end(e)
 	case closing:
+		l.closed = true
 		for _, p := range l.pending { // in any order: nothing follows from one to the next
 			l.expire(p)
 		}
@@ -176,6 +179,11 @@
 
 // arrive gives a request to the module.
 func (l *loop) arrive(p *pending) {
+	if l.closed {
+		p.answered = true
+		p.answer <- answer{ending: failed}
+		return
+	}
 	if l.set.MaxHeld > 0 && len(l.pending) >= l.set.MaxHeld {
 		p.answered = true
 		p.answer <- answer{ending: refused}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,6 +33,7 @@
 	loop     *loop
 	callers  *callers
 	listener *net.TCPListener
+	stop     context.CancelFunc // ends the loop, its attempts and discovery
 }
 
 // New makes a node and binds its address.
@@ -40,7 +41,9 @@
 	n := &Node{config: c, log: log, clock: newClock()}
 	sockets := newSockets(c.Sockets)
 	n.upstream = newUpstream(n.clock, sockets, &c.Settings)
-	n.loop = newLoop(c, n.clock, n.upstream, log)
+	inner, stop := context.WithCancel(context.Background())
+	n.stop = stop
+	n.loop = newLoop(inner, c, n.clock, n.upstream, log)
 	n.loop.discovery = newDiscovery(c.Discovery, log, func(l *list) { n.loop.post(listed{l}) })
 	n.callers = newCallers(c, n.clock, n.loop, sockets, log)
 	address, err := net.ResolveTCPAddr("tcp", c.Listen)
@@ -58,11 +61,10 @@
 
 // Run serves until the context ends, and then until what has come is answered.
 func (n *Node) Run(ctx context.Context) error {
-	inner, stop := context.WithCancel(context.Background())
-	n.loop.ctx = inner
+	inner := n.loop.ctx
 	var parts sync.WaitGroup
 	defer parts.Wait()
-	defer stop()
+	defer n.stop()
 	parts.Go(func() { n.loop.run(n.config.Known) })
 	var since *uint64
 	if n.config.Known != nil {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -169,6 +169,10 @@
 		t.Errorf("answered %s after %v", resp.Status, took)
 	}
 	waitFor(t, "the attempt's connection is closed", func() bool { _, ended := s.connections(); return ended == 1 })
+	resp, _ = exchange(t, request(t, n.url, "/act/1", "x", "X-Remaining-Ms", "0"))
+	if resp.StatusCode < 500 || resp.StatusCode == 503 {
+		t.Errorf("with no time left: answered %s", resp.Status)
+	}
 	if s.seen() != 1 {
 		t.Errorf("%d attempts", s.seen())
 	}
@@ -385,6 +389,20 @@
 	waitFor(t, "the attempt's connection is closed", func() bool { _, ended := s.connections(); return ended == 1 })
 }
 
+// A request that comes when the loop has failed all that was left must get its
+// answer too: nothing would end it any more.
+func TestNothingBeginsOnceClosed(t *testing.T) {
+	s := newServer(t, say("fine"))
+	n := withServers(t, s)
+	n.loop.post(closing{})
+	if resp, _ := exchange(t, request(t, n.url, "/look/1", "")); resp.StatusCode != 502 {
+		t.Errorf("answered %s", resp.Status)
+	}
+	if s.seen() != 0 {
+		t.Error("an attempt was made")
+	}
+}
+
 // Accepting must never fail for want of a descriptor: over the budget, idle
 // connections to servers go first, and then requests are refused.
 func TestSocketBudget(t *testing.T) {
