Take SIGHUP; turn away hidden requests and open ids, and close

Cause: nothing handled SIGHUP, whose default ends a Go program. Of a request with both lengths net/http hides Content-Length from the handler and reads what follows the chunks as the next request on the connection. Ruled out: the node's own encoding, which always writes one length.

Now SIGHUP reads the file again; the watch moves from the same generation at once, and the end of the old call is no failure. A bad file leaves a line. Transfer-Encoding, HTTP/1.0, repeated headers and an id that is still open are turned away, and any error of the client's making closes.

--- a/cmd/curlewring/main.go
+++ b/cmd/curlewring/main.go
@@ -1,5 +1,6 @@
 // Command curlewring is a load-balancing node. LB_CONFIG names the file that
-// tells it where to listen, where discovery is, and what to go by.
+// tells it where to listen, where discovery is, and what to go by. On SIGHUP it
+// reads that file again; on SIGTERM it ends in order.
 package main
 
 import (
@@ -24,7 +25,11 @@
 }
 
 func run(log *slog.Logger) error {
-	config, err := node.ReadConfig(os.Getenv("LB_CONFIG"))
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	path := os.Getenv("LB_CONFIG")
+	config, err := node.ReadConfig(path)
 	if err != nil {
 		return err
 	}
@@ -37,9 +42,23 @@
 
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	n, err := node.New(config, log.With("node", config.Name))
+	log = log.With("node", config.Name)
+	n, err := node.New(config, log)
 	if err != nil {
 		return err
 	}
-	return n.Run(ctx)
+	ended := make(chan error, 1)
+	go func() { ended <- n.Run(ctx) }()
+	for {
+		select {
+		case err := <-ended:
+			return err
+		case <-reload:
+			if config, err := node.ReadConfig(path); err != nil {
+				log.Error("the new configuration is bad; the old one stays", "err", err)
+			} else {
+				n.Reload(config)
+			}
+		}
+	}
 }
--- a/cmd/curlewring/main_test.go
+++ b/cmd/curlewring/main_test.go
@@ -5,10 +5,12 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -25,8 +27,26 @@
 	os.Exit(m.Run())
 }
 
+// logBuffer keeps what a running program writes.
+type logBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
 // command prepares the program with a configuration.
-func command(t *testing.T, config string) (*exec.Cmd, *bytes.Buffer) {
+func command(t *testing.T, config string) (*exec.Cmd, *logBuffer) {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
@@ -34,9 +54,9 @@
 	}
 	cmd := exec.Command(os.Args[0])
 	cmd.Env = append(os.Environ(), asCommand+"=1", "LB_CONFIG="+path)
-	var log bytes.Buffer
-	cmd.Stderr = &log
-	return cmd, &log
+	log := &logBuffer{}
+	cmd.Stderr = log
+	return cmd, log
 }
 
 // A bad configuration must end the start with one clear line and a code that
@@ -52,24 +72,29 @@
 	}
 }
 
-// The program must serve from its last list, and end in order on SIGTERM.
-func TestStartAndPlannedEnd(t *testing.T) {
+// freeAddress is one that a program can listen on.
+func freeAddress(t *testing.T) string {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	address := l.Addr().String()
-	l.Close()
-	cmd, log := command(t, fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":"127.0.0.1:1","seed":"5",
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func configText(listen, discovery string) string {
+	return fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"5",
 		"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
 		"known":{"generation":1,"reset":true,"instances":[
 			{"instanceId":"s0","hostPort":"127.0.0.1:1","lifecycle":"SERVING"}]},
-		"settings":{"categories":[{"name":"look","semantics":"repeatable","aim_ns":1000000000,
-			"deadline_ns":2000000000,"worth":1}]}}`, address))
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	defer cmd.Process.Kill()
+		"settings":{"registry_mode":"subscribe","categories":[{"name":"look","semantics":"repeatable",
+			"aim_ns":1000000000,"deadline_ns":2000000000,"worth":1}]}}`, listen, discovery)
+}
+
+// waitReady waits until a program serves.
+func waitReady(t *testing.T, address string) {
+	t.Helper()
 	for end := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
 		resp, err := http.Get("http://" + address + "/ready")
 		if err == nil {
@@ -82,6 +107,81 @@
 			t.Fatalf("never ready: %v", err)
 		}
 	}
+}
+
+// SIGHUP must make the program read its configuration again and ask discovery
+// where the new one says: by default the signal ends a Go program. A bad file
+// must change nothing but the log.
+func TestReload(t *testing.T) {
+	var calls [2]chan string
+	var discovery [2]*httptest.Server
+	for i := range discovery {
+		calls[i] = make(chan string, 100)
+		discovery[i] = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			calls[i] <- r.URL.RawQuery
+			<-r.Context().Done() // the watch waits
+		}))
+		defer discovery[i].Close()
+		defer discovery[i].CloseClientConnections()
+	}
+	called := func(i int) {
+		t.Helper()
+		select {
+		case <-calls[i]:
+		case <-time.After(20 * time.Second):
+			t.Fatalf("discovery %d was not asked", i)
+		}
+	}
+	address := freeAddress(t)
+	cmd, log := command(t, configText(address, discovery[0].Listener.Addr().String()))
+	path := strings.TrimPrefix(cmd.Env[len(cmd.Env)-1], "LB_CONFIG=")
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Process.Kill()
+	waitReady(t, address)
+	called(0)
+
+	reload := func(config string) {
+		t.Helper()
+		if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := cmd.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+	}
+	reload(configText(address, discovery[1].Listener.Addr().String()))
+	called(1)
+	reload(`{"listen":"nowhere"}`)
+	for end := time.Now().Add(20 * time.Second); !strings.Contains(log.String(), "stays"); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("a bad configuration left no line")
+		}
+	}
+	waitReady(t, address)
+	reload(configText(address, discovery[0].Listener.Addr().String()))
+	called(0)
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("ended with %v: %s", err, log)
+	}
+	if n := strings.Count(log.String(), "stays"); n != 1 {
+		t.Errorf("%d lines for one bad configuration: %s", n, log)
+	}
+}
+
+// The program must serve from its last list, and end in order on SIGTERM.
+func TestStartAndPlannedEnd(t *testing.T) {
+	address := freeAddress(t)
+	cmd, log := command(t, configText(address, "127.0.0.1:1"))
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer cmd.Process.Kill()
+	waitReady(t, address)
 	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -34,11 +35,15 @@
 	server   *http.Server
 	leaving  atomic.Bool  // a planned end has begun
 	accepted atomic.Int64 // when the last connection came, on the clock
+
+	mu   sync.Mutex
+	open map[string]bool // the ids of requests that have no answer yet
 }
 
 func newCallers(c *Config, clock clock, loop *loop, sockets *sockets, log *slog.Logger) *callers {
 	s := &callers{
 		clock: clock, loop: loop, sockets: sockets, classes: map[string]int{}, tenants: map[string]int{},
+		open: map[string]bool{},
 	}
 	for i, name := range c.Classes {
 		s.classes[name] = i
@@ -63,6 +68,10 @@
 	return s
 }
 
+// single are the headers that a request must not repeat: which one counts would
+// be for each to guess.
+var single = [...]string{"X-Txn", "X-Lane", "X-Org", "X-Remaining-Ms", "X-Resent", "X-Estimate", "Idempotency-Key"}
+
 // crowdedKey marks the context of a connection that came over the budget.
 type crowdedKey struct{}
 
@@ -82,11 +91,17 @@
 		return
 	}
 	p, status, why := s.parse(w, r, now)
+	if p != nil && !s.begin(p.call.txn) {
+		p, status, why = nil, http.StatusConflict, "another request with this X-Txn is open"
+	}
 	if p == nil {
-		s.partIfLeaving(w)
+		// What follows on the connection of a client that makes such errors may be
+		// no request at all: part of this one's body, say.
+		w.Header().Set("Connection", "close")
 		reply(w, status, why)
 		return
 	}
+	defer s.end(p.call.txn)
 	http.NewResponseController(w).SetWriteDeadline(s.clock.wall(p.deadline + writeGrace))
 	if crowded {
 		reply(w, http.StatusTooManyRequests, "too many connections")
@@ -107,6 +122,24 @@
 	}
 }
 
+// begin books a request's id, unless it is another open request's: servers drop
+// repeats by it and tell attempts apart, so answers might go to the wrong client.
+func (s *callers) begin(txn string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open[txn] {
+		return false
+	}
+	s.open[txn] = true
+	return true
+}
+
+func (s *callers) end(txn string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, txn)
+}
+
 // partIfLeaving closes the connection with the answer once a planned end has
 // begun. It looks at the time of the answer: the request may have come before.
 func (s *callers) partIfLeaving(w http.ResponseWriter) {
@@ -148,6 +181,20 @@
 // parse reads a request, or says what is wrong with it. None of the codes it
 // returns is a refusal: trying such a request again is of no use.
 func (s *callers) parse(w http.ResponseWriter, r *http.Request, now time.Duration) (*pending, int, string) {
+	// Of a request with both lengths net/http hides one, and a server or proxy that
+	// goes by the other finds a second request inside the body. Chunks are of no
+	// use here: no client needs them.
+	if len(r.TransferEncoding) > 0 {
+		return nil, http.StatusLengthRequired, "Transfer-Encoding is not taken"
+	}
+	if !r.ProtoAtLeast(1, 1) { // there net/http drops Transfer-Encoding unseen
+		return nil, http.StatusHTTPVersionNotSupported, "HTTP/1.1 is needed"
+	}
+	for _, name := range single {
+		if len(r.Header.Values(name)) > 1 {
+			return nil, http.StatusBadRequest, name + " stands there twice"
+		}
+	}
 	first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	class, ok := s.classes[first]
 	if !ok {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -7,6 +7,7 @@
 	"hash/fnv"
 	"net"
 	"os"
+	"reflect"
 
 	"curlewring/decide"
 	"curlewring/internal/settings"
@@ -101,3 +102,11 @@
 	}
 	return c, nil
 }
+
+// sameService tells whether two configurations differ in no more than what each
+// start brings (seed, known list) and the address of discovery.
+func (c *Config) sameService(other *Config) bool {
+	a, b := *c, *other
+	a.Discovery, a.Seed, a.Known = b.Discovery, b.Seed, b.Known
+	return reflect.DeepEqual(a, b)
+}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"curlewring/decide"
@@ -103,8 +104,7 @@
 
 // discovery makes the calls for the list of servers that the module asks for.
 type discovery struct {
-	address string
-	client  *http.Client
+	service atomic.Pointer[service]
 	log     *slog.Logger
 	watch   chan bool     // on or off, the newest counts
 	fetch   chan struct{} // one call for the whole list
@@ -113,8 +113,17 @@
 	patient time.Duration // how long a call may take besides
 }
 
-func newDiscovery(address string, log *slog.Logger, report func(*list)) *discovery {
-	return &discovery{
+// service is discovery at one address.
+type service struct {
+	address string
+	client  *http.Client
+	left    context.Context // ends when discovery moves elsewhere
+	leave   context.CancelFunc
+}
+
+func newService(address string) *service {
+	left, leave := context.WithCancel(context.Background())
+	return &service{
 		address: address,
 		client: &http.Client{Transport: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: callConnect}).DialContext,
@@ -122,14 +131,33 @@
 			MaxIdleConnsPerHost: 1,
 			MaxConnsPerHost:     2, // a watch and a fetch
 		}},
+		left: left, leave: leave,
+	}
+}
+
+func newDiscovery(address string, log *slog.Logger, report func(*list)) *discovery {
+	d := &discovery{
 		log:    log,
 		watch:  make(chan bool, 1),
 		fetch:  make(chan struct{}, 1),
 		report: report,
 		long:   watchWait, patient: callWait,
 	}
+	d.service.Store(newService(address))
+	return d
+}
+
+// move makes all calls at another address from now on. Those that are under way
+// at the old one are made anew; their end is no failure.
+func (d *discovery) move(address string) {
+	old := d.service.Swap(newService(address))
+	old.leave()
+	old.client.CloseIdleConnections()
 }
 
+// address is where discovery is now.
+func (d *discovery) address() string { return d.service.Load().address }
+
 // setWatch turns the watch on or off. It does not block; only the loop calls it.
 func (d *discovery) setWatch(on bool) {
 	select {
@@ -168,14 +196,19 @@
 
 // runWatch keeps the watch, while it is wanted, until the context ends. A call
 // that fails ends the watch: the module decides when to ask again.
+// A watch that waits for that in vain at an old address begins anew with a move.
 func (d *discovery) runWatch(ctx context.Context, since *uint64) {
-	on := false
+	on, wanted := false, false
 	for {
+		at := d.service.Load()
 		if on {
-			on, since = d.watchOnce(ctx, since)
+			on, wanted, since = d.watchOnce(ctx, since)
 		} else {
 			select {
 			case on = <-d.watch:
+				wanted = on
+			case <-at.left.Done():
+				on = wanted
 			case <-ctx.Done():
 			}
 		}
@@ -185,9 +218,10 @@
 	}
 }
 
-// watchOnce makes one call of a watch, and returns whether the watch goes on and
-// the generation to ask from. Turning the watch off ends the call.
-func (d *discovery) watchOnce(ctx context.Context, since *uint64) (bool, *uint64) {
+// watchOnce makes one call of a watch, and returns whether the watch goes on,
+// whether it is still wanted, and the generation to ask from. Turning the watch
+// off ends the call.
+func (d *discovery) watchOnce(ctx context.Context, since *uint64) (on, wanted bool, _ *uint64) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	off := make(chan bool, 1)
@@ -214,25 +248,37 @@
 	l, err := d.call(ctx, query, wait)
 	cancel()
 	if <-off {
-		return false, since
+		return false, false, since
 	}
 	if err != nil {
 		d.log.Warn("the watch failed", "err", err)
 		d.report(nil)
-		return false, since
+		return false, true, since
 	}
 	d.report(l)
-	return true, &l.generation
+	return true, true, &l.generation
 }
 
+// call asks discovery, wherever it moves meanwhile.
 func (d *discovery) call(ctx context.Context, query string, wait time.Duration) (*list, error) {
+	for {
+		at := d.service.Load()
+		l, err := at.call(ctx, query, wait)
+		if err == nil || ctx.Err() != nil || at.left.Err() == nil {
+			return l, err
+		}
+	}
+}
+
+func (s *service) call(ctx context.Context, query string, wait time.Duration) (*list, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.address+"/v1/endpoints"+query, nil)
+	defer context.AfterFunc(s.left, cancel)()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.address+"/v1/endpoints"+query, nil)
 	if err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
-	resp, err := d.client.Do(req)
+	resp, err := s.client.Do(req)
 	if err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"strings"
@@ -71,8 +72,8 @@
 	watch := newDiscovery(d.Listener.Addr().String(), quiet(), func(l *list) { reports <- l })
 	watch.long, watch.patient = 50*time.Millisecond, 50*time.Millisecond
 	since := uint64(3)
-	on, from := watch.watchOnce(t.Context(), &since)
-	if on || *from != 3 {
+	on, wanted, from := watch.watchOnce(t.Context(), &since)
+	if on || !wanted || *from != 3 {
 		t.Errorf("the watch goes on: %v, from %d", on, *from)
 	}
 	if l := <-reports; l != nil {
@@ -139,3 +140,45 @@
 		t.Errorf("%d sockets are left", budget.open.Load())
 	}
 }
+
+// When discovery moves, the watch must go on at the new address at once and from
+// the same generation, and the end of the call at the old one must not count as
+// a failed call, after which the module waits before it asks again. The old
+// address must get no further call.
+func TestWatchMovesWithDiscovery(t *testing.T) {
+	old, next := newDiscoveryService(t), newDiscoveryService(t)
+	reports := make(chan *list, 10)
+	d := newDiscovery(old.Listener.Addr().String(), quiet(), func(l *list) { reports <- l })
+	since := uint64(3)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		d.runWatch(ctx, &since)
+	}()
+	d.setWatch(true)
+	waitFor(t, "the watch is at the old address", func() bool { return old.calls() == 1 })
+	d.move(next.Listener.Addr().String())
+	next.tell(t, listOf(4, false))
+	if l := <-reports; l == nil || l.generation != 4 {
+		t.Errorf("reported %v, want the list of the new address", l)
+	}
+	if q := next.query(0); !strings.HasPrefix(q, "since=3&") {
+		t.Errorf("asked with %q", q)
+	}
+	// A watch that has failed waits for the module; a move ends that wait too.
+	next.tell(t, "")
+	if l := <-reports; l != nil {
+		t.Errorf("reported %v, want a failed call", l)
+	}
+	d.move(old.Listener.Addr().String())
+	old.tell(t, listOf(5, false)) // the new watch: the first call here has ended
+	if l := <-reports; l == nil || l.generation != 5 {
+		t.Errorf("reported %v, want the list of the address moved back to", l)
+	}
+	if q := old.query(1); !strings.HasPrefix(q, "since=4&") {
+		t.Errorf("asked with %q", q)
+	}
+	cancel()
+	<-done
+}
--- a/internal/node/fakes_test.go
+++ b/internal/node/fakes_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -257,7 +258,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.Header.Set("X-Txn", "9b1f03aa5c7e2d41")
+	r.Header.Set("X-Txn", newID())
 	r.Header.Set("X-Lane", class)
 	r.Header.Set("X-Remaining-Ms", "15000")
 	if class == "note" {
@@ -324,6 +325,13 @@
 	return resp
 }
 
-const rawLook = "GET /look/1 HTTP/1.1\r\nHost: app.svc\r\nX-Txn: 1\r\nX-Lane: look\r\nX-Remaining-Ms: 15000\r\n\r\n"
+// newID is an id that no other request has.
+func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
+
+// rawLook is a request as it stands on the wire.
+func rawLook() string {
+	return "GET /look/1 HTTP/1.1\r\nHost: app.svc\r\nX-Txn: " + newID() +
+		"\r\nX-Lane: look\r\nX-Remaining-Ms: 15000\r\n\r\n"
+}
 
 func quiet() *slog.Logger { return slog.New(slog.DiscardHandler) }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,6 +59,19 @@
 // Address is where clients connect.
 func (n *Node) Address() net.Addr { return n.listener.Addr() }
 
+// Reload goes by another configuration as far as a running node can: it moves to
+// the discovery that this one names. All else takes a restart. Calls must not
+// overlap.
+func (n *Node) Reload(c *Config) {
+	if was := n.loop.discovery.address(); c.Discovery != was {
+		n.log.Info("discovery moves", "from", was, "to", c.Discovery)
+		n.loop.discovery.move(c.Discovery)
+	}
+	if !n.config.sameService(c) {
+		n.log.Warn("the new configuration changes more than discovery, which takes a restart")
+	}
+}
+
 // Run serves until the context ends, and then until what has come is answered.
 func (n *Node) Run(ctx context.Context) error {
 	inner := n.loop.ctx
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -22,7 +22,8 @@
 	})
 	n := withServers(t, s)
 	const path = "/note/a%2Fb//c%20d;x?q=%41&&r=1+2"
-	r := request(t, n.url, "/note/x", "body\x00\xff", "Content-Type", "text/odd")
+	r := request(t, n.url, "/note/x", "body\x00\xff", "Content-Type", "text/odd",
+		"X-Txn", "9b1f03aa5c7e2d41")
 	r.URL.Opaque = path
 	resp, body := exchange(t, r)
 	if resp.StatusCode != 200 || body != "state\x00\xff" || resp.Header.Get("Content-Type") != "application/x-unit" {
@@ -183,7 +184,7 @@
 	s := newServer(t, hang)
 	n := withServers(t, s)
 	c := dialRaw(t, n)
-	c.send(t, rawLook)
+	c.send(t, rawLook())
 	waitFor(t, "the attempt is out", func() bool { return s.seen() == 1 })
 	c.Close()
 	waitFor(t, "the attempt's connection is closed", func() bool { _, ended := s.connections(); return ended == 1 })
@@ -198,7 +199,7 @@
 	s := newServer(t, hang)
 	n := withServers(t, s)
 	c := dialRaw(t, n)
-	c.send(t, rawLook)
+	c.send(t, rawLook())
 	waitFor(t, "the attempt is out", func() bool { return s.seen() == 1 })
 	c.Conn.(*net.TCPConn).CloseWrite()
 	if rest, _ := io.ReadAll(c.reader); len(rest) > 0 {
@@ -314,14 +315,23 @@
 		"bad header":            "GET /look/1" + head + "a b: c\r\n\r\n",
 		"no HTTP":               "hello\r\n\r\n",
 		"headers too large":     "GET /look/1" + head + "X-Long: " + strings.Repeat("x", 40000) + "\r\n\r\n",
+		"both lengths":          "POST /act/1" + head + common + "Content-Length: 6\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + rawLook(),
+		"HTTP/1.0":              "GET /look/1 HTTP/1.0\r\nHost: app.svc\r\n" + common + "\r\n",
+		"two ids":               "GET /look/1" + head + common + "X-Txn: 2\r\n\r\n",
+		"two keys":              "POST /note/1" + head + common + "Idempotency-Key: a\r\nIdempotency-Key: b\r\nContent-Length: 0\r\n\r\n",
 		"two lengths":           "POST /act/1" + head + common + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nxx",
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := dialRaw(t, n)
 			go io.WriteString(c, text) // the node need not read it all
-			if resp := c.receive(t); resp.StatusCode < 400 || resp.StatusCode > 499 || resp.StatusCode == 429 {
+			resp := c.receive(t)
+			if resp.StatusCode < 400 || resp.StatusCode == 429 || resp.StatusCode == 503 {
 				t.Errorf("answered %s", resp.Status)
 			}
+			// What follows may be part of the body of what could not be read.
+			if rest, _ := io.ReadAll(c.reader); len(rest) > 0 || !resp.Close {
+				t.Errorf("close %v, and then sent %q", resp.Close, rest)
+			}
 		})
 	}
 	if s.seen() != 0 {
@@ -332,6 +342,37 @@
 	}
 }
 
+// An id that is still open must not be taken a second time, by whomever: servers
+// tell requests apart by it. Once it has its answer the id is no longer kept.
+func TestOpenIDIsTurnedAway(t *testing.T) {
+	release := make(chan struct{})
+	s := newServer(t, func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		io.WriteString(w, "fine")
+	})
+	n := withServers(t, s)
+	first, second := dialRaw(t, n), dialRaw(t, n)
+	text := rawLook()
+	first.send(t, text)
+	waitFor(t, "the first is out", func() bool { return s.seen() == 1 })
+	second.send(t, text)
+	if resp := second.receive(t); resp.StatusCode != 409 || !resp.Close {
+		t.Errorf("the second got %s, close %v", resp.Status, resp.Close)
+	}
+	close(release)
+	if resp := first.receive(t); resp.StatusCode != 200 {
+		t.Errorf("the first got %s", resp.Status)
+	}
+	waitFor(t, "the id is free", func() bool {
+		n.callers.mu.Lock()
+		defer n.callers.mu.Unlock()
+		return len(n.callers.open) == 0
+	})
+	if s.seen() != 1 {
+		t.Errorf("%d attempts", s.seen())
+	}
+}
+
 // At a planned end the code must answer what it has, take the connections that
 // go on coming for a while, and ask clients to leave. Closing the listener at
 // once would reset those that wait in its backlog.
@@ -345,17 +386,17 @@
 	})
 	n := withServers(t, s)
 	slow := dialRaw(t, n)
-	slow.send(t, strings.Replace(rawLook, "/look/1", "/look/slow", 1))
+	slow.send(t, strings.Replace(rawLook(), "/look/1", "/look/slow", 1))
 	waitFor(t, "the slow request is out", func() bool { return s.seen() == 1 })
 	idle := dialRaw(t, n)
-	idle.send(t, rawLook)
+	idle.send(t, rawLook())
 	if resp := idle.receive(t); resp.StatusCode != 200 || resp.Close {
 		t.Fatalf("before the end: %s, close %v", resp.Status, resp.Close)
 	}
 	n.cancel()
 	waitFor(t, "the end has begun", n.callers.leaving.Load)
 	late := dialRaw(t, n)
-	late.send(t, rawLook)
+	late.send(t, rawLook())
 	if resp := late.receive(t); resp.StatusCode != 200 || !resp.Close {
 		t.Errorf("a newcomer got %s, close %v", resp.Status, resp.Close)
 	}
@@ -377,7 +418,7 @@
 	s := newServer(t, hang)
 	n := withServers(t, s)
 	c := dialRaw(t, n)
-	c.send(t, rawLook)
+	c.send(t, rawLook())
 	waitFor(t, "the attempt is out", func() bool { return s.seen() == 1 })
 	n.cancel()
 	if resp := c.receive(t); resp.StatusCode != 504 {
@@ -410,7 +451,7 @@
 	n := startNode(t, testConfig(t, deadAddress(t), listOf(1, true, s.addr()), leastSockets))
 	most := int(n.callers.sockets.most)
 	first := dialRaw(t, n)
-	first.send(t, rawLook)
+	first.send(t, rawLook())
 	if resp := first.receive(t); resp.StatusCode != 200 {
 		t.Fatalf("answered %s", resp.Status)
 	}
@@ -420,7 +461,7 @@
 	}
 	waitFor(t, "the idle connection made room", func() bool { _, ended := s.connections(); return ended == 1 })
 	over := dialRaw(t, n)
-	over.send(t, rawLook)
+	over.send(t, rawLook())
 	if resp := over.receive(t); resp.StatusCode != 429 || !resp.Close {
 		t.Errorf("over the budget: %s, close %v", resp.Status, resp.Close)
 	}
@@ -428,7 +469,7 @@
 		c.Close()
 	}
 	waitFor(t, "their places are free", func() bool { return n.callers.sockets.open.Load() == 1 })
-	first.send(t, rawLook)
+	first.send(t, rawLook())
 	if resp := first.receive(t); resp.StatusCode != 200 {
 		t.Errorf("with room again: %s", resp.Status)
 	}
