Bound what clients hold: 5 s idle, 2 s a request, parts of the descriptors

Cause: connections of clients idled for 5 minutes (callers.go) in one budget with the attempts (sockets.go): once it was full, each newcomer was 'crowded' and refused, and no attempt found a descriptor. The memory was the connections' and a heap that with GC percent 400 collects first at 16 MB.

Now idle connections end after 5 s, a whole request has 2 s (3 are owed), a declared length over 64 KiB is turned away unread, times beyond the class's are capped. Clients and attempts have a half of the descriptors each; a full clients' part closes what never sent a whole request, then the longest idle. GC percent is 100: what lives is a few MB.

--- a/cmd/curlewring/main.go
+++ b/cmd/curlewring/main.go
@@ -34,11 +34,12 @@
 		return err
 	}
 	// One core, which other nodes may share. Memory that the limit leaves over
-	// is for stacks, the program itself and the kernel's part; collections are
-	// rare until the heap nears it.
+	// is for stacks, the program itself and the kernel's part. What lives is a few
+	// megabytes: collections cost little, and rarer ones would let the heap grow
+	// for minutes before the first.
 	runtime.GOMAXPROCS(1)
 	debug.SetMemoryLimit(int64(config.MemoryMB) << 20 * 2 / 3)
-	debug.SetGCPercent(400)
+	debug.SetGCPercent(100)
 
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"log/slog"
 	"net"
@@ -18,7 +17,8 @@
 
 const (
 	mostHeader    = 16 << 10
-	headerWait    = 5 * time.Second  // for a request's head, once it has begun
+	requestWait   = 2 * time.Second  // for a whole request, from its first byte or the connection's start
+	idleWait      = 5 * time.Second  // for the next request
 	mostRemaining = 10 * time.Minute // longer waits are taken for nonsense
 	writeGrace    = time.Second      // after its deadline a client that does not read is cut off
 	writeWait     = 10 * time.Second // the same where no deadline is known
@@ -28,10 +28,11 @@
 type callers struct {
 	clock    clock
 	loop     *loop
-	sockets  *sockets
+	clients  *clients
 	classes  map[string]int
 	tenants  map[string]int
 	effects  []decide.Effect
+	waits    []time.Duration // how long clients wait at the most, by class
 	server   *http.Server
 	leaving  atomic.Bool  // a planned end has begun
 	accepted atomic.Int64 // when the last connection came, on the clock
@@ -40,29 +41,39 @@
 	open map[string]bool // the ids of requests that have no answer yet
 }
 
-func newCallers(c *Config, clock clock, loop *loop, sockets *sockets, log *slog.Logger) *callers {
+func newCallers(c *Config, clock clock, loop *loop, clients *clients, log *slog.Logger) *callers {
 	s := &callers{
-		clock: clock, loop: loop, sockets: sockets, classes: map[string]int{}, tenants: map[string]int{},
+		clock: clock, loop: loop, clients: clients, classes: map[string]int{}, tenants: map[string]int{},
 		open: map[string]bool{},
 	}
 	for i, name := range c.Classes {
 		s.classes[name] = i
 		s.effects = append(s.effects, c.Settings.Classes[i].Effect)
+		s.waits = append(s.waits, c.Settings.Classes[i].Deadline)
 	}
 	for i, name := range c.Tenants {
 		s.tenants[name] = i
 	}
 	s.server = &http.Server{
-		Handler:           s,
-		ReadHeaderTimeout: headerWait,
-		IdleTimeout:       5 * time.Minute, // clients keep their connections
-		WriteTimeout:      writeWait,       // counted anew with each request
-		MaxHeaderBytes:    mostHeader,
+		Handler: s,
+		// A silent client holds a descriptor and some memory for no longer than this.
+		ReadTimeout:    requestWait,
+		IdleTimeout:    idleWait,
+		WriteTimeout:   writeWait, // counted anew with each request
+		MaxHeaderBytes: mostHeader,
 		// An answer of its own to OPTIONS * would stand for a server's.
 		DisableGeneralOptionsHandler: true,
 		ErrorLog:                     slog.NewLogLogger(log.Handler(), slog.LevelWarn),
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(ctx, crowdedKey{}, c.(*clientConn).crowded)
+			return context.WithValue(ctx, connKey{}, c.(*clientConn))
+		},
+		ConnState: func(c net.Conn, state http.ConnState) {
+			switch state {
+			case http.StateActive: // a head has come
+				s.clients.mark(c.(*clientConn), unready)
+			case http.StateIdle:
+				s.clients.mark(c.(*clientConn), idle)
+			}
 		},
 	}
 	return s
@@ -72,14 +83,14 @@
 // be for each to guess.
 var single = [...]string{"X-Txn", "X-Lane", "X-Org", "X-Remaining-Ms", "X-Resent", "X-Estimate", "Idempotency-Key"}
 
-// crowdedKey marks the context of a connection that came over the budget.
-type crowdedKey struct{}
+// connKey finds a request's connection in its context.
+type connKey struct{}
 
 // ServeHTTP answers one request.
 func (s *callers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := s.clock.now()
-	crowded, _ := r.Context().Value(crowdedKey{}).(bool)
-	if crowded {
+	conn := r.Context().Value(connKey{}).(*clientConn)
+	if conn.crowded {
 		w.Header().Set("Connection", "close")
 	}
 	if r.URL.Path == "/ready" {
@@ -103,7 +114,10 @@
 	}
 	defer s.end(p.call.txn)
 	http.NewResponseController(w).SetWriteDeadline(s.clock.wall(p.deadline + writeGrace))
-	if crowded {
+	if !s.clients.mark(conn, busy) {
+		panic(http.ErrAbortHandler) // it made room for another
+	}
+	if conn.crowded {
 		reply(w, http.StatusTooManyRequests, "too many connections")
 		return
 	}
@@ -215,24 +229,29 @@
 	if txn == "" {
 		return nil, http.StatusBadRequest, "no X-Txn"
 	}
-	ms, err := strconv.ParseInt(r.Header.Get("X-Remaining-Ms"), 10, 64)
-	if err != nil || ms < 0 || ms > mostRemaining.Milliseconds() {
+	ms, err := strconv.ParseUint(r.Header.Get("X-Remaining-Ms"), 10, 32)
+	wait := time.Duration(ms) * time.Millisecond
+	if err != nil || wait > mostRemaining {
 		return nil, http.StatusBadRequest, "X-Remaining-Ms is missing or odd"
 	}
+	if longest := s.waits[class]; longest > 0 { // nobody waits for longer
+		wait = min(wait, longest)
+	}
 	p := &pending{
 		answer:   make(chan answer, 1),
-		deadline: now + time.Duration(ms)*time.Millisecond,
+		deadline: now + wait,
 		request:  decide.Request{Class: class, Tenant: -1, Repeat: r.Header.Get("X-Resent") == "1"},
 	}
 	if tenant, ok := s.tenants[r.Header.Get("X-Org")]; ok {
 		p.request.Tenant = tenant
 	}
 	if text := r.Header.Get("X-Estimate"); text != "" {
-		us, err := strconv.ParseInt(text, 10, 64)
-		if err != nil || us < 0 || us > mostRemaining.Microseconds() {
+		us, err := strconv.ParseUint(text, 10, 32)
+		work := time.Duration(us) * time.Microsecond
+		if err != nil || work > mostRemaining {
 			return nil, http.StatusBadRequest, "X-Estimate is odd"
 		}
-		p.request.Work = time.Duration(us) * time.Microsecond
+		p.request.Work = work
 	}
 	p.call = &call{
 		method: r.Method, uri: r.RequestURI, host: r.Host, txn: txn, key: key, kind: r.Header.Get("Content-Type"),
@@ -246,62 +265,33 @@
 	if s.effects[class] == decide.Repeatable {
 		return nil, http.StatusBadRequest, "the class takes no body"
 	}
-	// The body must be here before the client's time is up.
-	control := http.NewResponseController(w)
-	control.SetReadDeadline(s.clock.wall(p.deadline))
-	p.call.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, mostBody))
-	control.SetReadDeadline(time.Time{})
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
+	if r.ContentLength > mostBody {
 		return nil, http.StatusRequestEntityTooLarge, "the body is too large"
 	}
-	if err != nil {
-		return nil, http.StatusBadRequest, "the body did not come"
+	p.call.body = make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, p.call.body); err != nil {
+		return nil, http.StatusRequestTimeout, "the body did not come"
 	}
 	// A request begins with its last byte.
 	p.deadline += s.clock.now() - now
 	return p, 0, ""
 }
 
-// clientConn gives its place in the budget back when it closes. It is a whole
-// TCP connection to the server above it, which half-closes one after a request
-// that it can't read to its end: the answer would else be lost in a reset.
-type clientConn struct {
-	*net.TCPConn
-	sockets *sockets
-	crowded bool
-	closed  atomic.Bool
-}
-
-func (c *clientConn) Close() error {
-	if c.closed.CompareAndSwap(false, true) {
-		defer c.sockets.give()
-	}
-	return c.TCPConn.Close()
-}
-
-// listener books clients' connections. One over the budget takes the place of
-// an idle connection to a server, or has its requests refused.
+// listener takes clients' connections in, as far as there is room.
 type listener struct {
 	*net.TCPListener
 	callers *callers
-	relieve func() bool
 }
 
 func (l *listener) Accept() (net.Conn, error) {
-	for l.callers.sockets.full() { // what waits stays in the backlog for a moment
-		if !l.relieve() {
-			time.Sleep(time.Millisecond)
-		}
+	s := l.callers
+	if !s.clients.waitForRoom(s.loop.ctx) {
+		return nil, net.ErrClosed
 	}
 	c, err := l.AcceptTCP()
 	if err != nil {
 		return nil, err
 	}
-	s := l.callers
 	s.accepted.Store(int64(s.clock.now()))
-	s.sockets.force()
-	for s.sockets.over() && l.relieve() {
-	}
-	return &clientConn{TCPConn: c, sockets: s.sockets, crowded: s.sockets.over()}, nil
+	return s.clients.add(c), nil
 }
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -112,7 +112,7 @@
 func TestLooksAgainBeforeItWrites(t *testing.T) {
 	s := newServer(t, say("fine"))
 	set := &decide.Settings{ConnectTimeout: patience, ConnIdle: patience}
-	clock, budget := newClock(), newSockets(1024)
+	clock, budget := newClock(), newSockets(1000)
 	up := newUpstream(clock, budget, set)
 	q := &call{method: http.MethodGet, uri: "/look/1", host: "app.svc", txn: "1"}
 	p := &peer{id: "s0", address: s.addr()}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -39,13 +39,13 @@
 // New makes a node and binds its address.
 func New(c *Config, log *slog.Logger) (*Node, error) {
 	n := &Node{config: c, log: log, clock: newClock()}
-	sockets := newSockets(c.Sockets)
-	n.upstream = newUpstream(n.clock, sockets, &c.Settings)
+	clients, attempts := split(c.Sockets)
+	n.upstream = newUpstream(n.clock, newSockets(attempts), &c.Settings)
 	inner, stop := context.WithCancel(context.Background())
 	n.stop = stop
 	n.loop = newLoop(inner, c, n.clock, n.upstream, log)
 	n.loop.discovery = newDiscovery(c.Discovery, log, func(l *list) { n.loop.post(listed{l}) })
-	n.callers = newCallers(c, n.clock, n.loop, sockets, log)
+	n.callers = newCallers(c, n.clock, n.loop, newClients(n.clock, clients), log)
 	address, err := net.ResolveTCPAddr("tcp", c.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listening: %w", err)
@@ -88,7 +88,7 @@
 
 	broke := make(chan error, 1)
 	parts.Go(func() {
-		broke <- n.callers.server.Serve(&listener{n.listener, n.callers, n.upstream.relieve})
+		broke <- n.callers.server.Serve(&listener{n.listener, n.callers})
 	})
 	select {
 	case err := <-broke:
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -444,34 +444,151 @@
 	}
 }
 
-// Accepting must never fail for want of a descriptor: over the budget, idle
-// connections to servers go first, and then requests are refused.
-func TestSocketBudget(t *testing.T) {
+// Over the clients' part of the descriptors, connections that never sent a whole
+// request must make room first, then those that have idled longest, and none
+// with a request open; newcomers have a moment, or a flood would push out the
+// usual ones. With a request open on each, a few more are let in and refused.
+func TestClientsMakeRoom(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	clients := newClients(newClock(), 5)
+	connect := func(u use, age time.Duration) *clientConn {
+		t.Helper()
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		cc := clients.add(c.(*net.TCPConn))
+		cc.use, cc.since = u, cc.since-age
+		return cc
+	}
+	gone := func(c *clientConn) bool { return !clients.mark(c, c.use) }
+	open, shorter, longer := connect(busy, time.Hour), connect(idle, 2*time.Second), connect(idle, 3*time.Second)
+	young, silent := connect(unready, -time.Hour), connect(unready, time.Second)
+	for i, want := range []*clientConn{silent, longer, shorter} {
+		age := want.since // mark would set it anew
+		if !clients.makeRoom() || !gone(want) {
+			t.Errorf("%d: the one since %v did not make room", i, age)
+		}
+		connect(busy, 0)
+	}
+	if clients.makeRoom() {
+		t.Error("room was made where none is, though a newcomer may go soon")
+	}
+	if gone(open) || gone(young) {
+		t.Error("an open request's connection or a newcomer made room")
+	}
+	clients.mark(young, busy)
+	for range spareSockets {
+		if !clients.makeRoom() || !connect(busy, 0).crowded {
+			t.Error("no place to refuse one more")
+		}
+	}
+	if clients.makeRoom() {
+		t.Error("more than the spare places")
+	}
+	clients.remove(open)
+	for range spareSockets {
+		clients.remove(connect(busy, 0))
+	}
+}
+
+// Hundreds of silent connections must starve neither the usual clients nor the
+// attempts made for them.
+func TestSilentClientsStarveNobody(t *testing.T) {
 	s := newServer(t, say("fine"))
 	n := startNode(t, testConfig(t, deadAddress(t), listOf(1, true, s.addr()), leastSockets))
-	most := int(n.callers.sockets.most)
-	first := dialRaw(t, n)
-	first.send(t, rawLook())
-	if resp := first.receive(t); resp.StatusCode != 200 {
-		t.Fatalf("answered %s", resp.Status)
+	for range 3 * n.callers.clients.most {
+		dialRaw(t, n)
+	}
+	if resp, body := exchange(t, request(t, n.url, "/look/1", "")); body != "fine" {
+		t.Errorf("answered %s %q", resp.Status, body)
+	}
+}
+
+// A client whose requests can't be taken for want of descriptors is refused, and
+// its connection closed.
+func TestCrowdedClientsAreRefused(t *testing.T) {
+	release := make(chan struct{})
+	s := newServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		<-release
+		io.WriteString(w, "fine")
+	})
+	n := startNode(t, testConfig(t, deadAddress(t), listOf(1, true, s.addr()), leastSockets))
+	defer close(release)
+	all := func() (open int) {
+		n.callers.clients.mu.Lock()
+		defer n.callers.clients.mu.Unlock()
+		for c := range n.callers.clients.conns {
+			if c.use == busy {
+				open++
+			}
+		}
+		return open
 	}
-	conns := []*rawConn{first}
-	for len(conns) < most { // the last takes the place of the idle connection
-		conns = append(conns, dialRaw(t, n))
+	for i := range n.callers.clients.most {
+		dialRaw(t, n).send(t, rawLook())
+		waitFor(t, "its request is open", func() bool { return all() == i+1 })
 	}
-	waitFor(t, "the idle connection made room", func() bool { _, ended := s.connections(); return ended == 1 })
 	over := dialRaw(t, n)
 	over.send(t, rawLook())
 	if resp := over.receive(t); resp.StatusCode != 429 || !resp.Close {
 		t.Errorf("over the budget: %s, close %v", resp.Status, resp.Close)
 	}
-	for _, c := range conns[1:] {
-		c.Close()
+}
+
+// A client that sends nothing, or half a request, holds a connection for no more
+// than a moment: 3 s are owed, whatever time its request would leave.
+func TestHalfRequestsEnd(t *testing.T) {
+	s := newServer(t, say("fine"))
+	n := withServers(t, s)
+	for name, text := range map[string]string{
+		"nothing":     "",
+		"half a head": "POST /act/1 HTTP/1.1\r\nHost: app.svc\r\n",
+		"half a body": "POST /act/1 HTTP/1.1\r\nHost: app.svc\r\nX-Txn: 1\r\nX-Remaining-Ms: 15000\r\nContent-Length: 9\r\n\r\nhalf",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := dialRaw(t, n)
+			c.send(t, text)
+			rest, err := io.ReadAll(c.reader)
+			if err != nil || strings.HasPrefix(string(rest), "HTTP/1.1 2") {
+				t.Errorf("sent %q, then %v", rest, err)
+			}
+		})
 	}
-	waitFor(t, "their places are free", func() bool { return n.callers.sockets.open.Load() == 1 })
-	first.send(t, rawLook())
-	if resp := first.receive(t); resp.StatusCode != 200 {
-		t.Errorf("with room again: %s", resp.Status)
+	if s.seen() != 0 {
+		t.Errorf("%d of them reached the server", s.seen())
+	}
+}
+
+// A body that is too long must be turned away before it comes: 60 MB would fill
+// the memory, and the client waits meanwhile.
+func TestDeclaredLength(t *testing.T) {
+	n := withServers(t, newServer(t, say("fine")))
+	c := dialRaw(t, n)
+	c.send(t, "POST /act/1 HTTP/1.1\r\nHost: app.svc\r\nX-Txn: 1\r\nX-Remaining-Ms: 15000\r\nContent-Length: 60000000\r\n\r\n")
+	if resp := c.receive(t); resp.StatusCode != 413 || !resp.Close {
+		t.Errorf("answered %s, close %v", resp.Status, resp.Close)
+	}
+}
+
+// No client waits for longer than its class's deadline: what claims to is held
+// no longer.
+func TestRemainingTimeIsCapped(t *testing.T) {
+	s := newServer(t, hang)
+	text := strings.ReplaceAll(configText(deadAddress(t), listOf(1, true, s.addr()), 1024), "30000000000", "500000000")
+	c, err := parseConfig([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := startNode(t, c)
+	if resp, _ := exchange(t, request(t, n.url, "/look/1", "", "X-Remaining-Ms", "599000")); resp.StatusCode < 500 {
+		t.Errorf("answered %s", resp.Status)
 	}
 }
 
@@ -523,8 +640,9 @@
 	if err := <-n.ended; err != nil {
 		t.Errorf("ended with %v", err)
 	}
-	if len(n.loop.pending) != 0 || n.callers.sockets.open.Load() != 0 {
-		t.Errorf("left over: %d requests, %d sockets", len(n.loop.pending), n.callers.sockets.open.Load())
+	left := len(n.callers.clients.conns) + int(n.upstream.sockets.open.Load())
+	if len(n.loop.pending) != 0 || len(n.callers.open) != 0 || left != 0 {
+		t.Errorf("left over: %d requests, %d ids, %d sockets", len(n.loop.pending), len(n.callers.open), left)
 	}
 }
 
