Bound answers and lists; tell spoilt answers apart; rest connections

A loopback probe of an answer said to have 3 GB took its whole 20 s.

Cause: conn.read closed the body of what it had given up on, and closing reads all that the answer is said to hold (upstream.go, resp.Body.Close). Heads and interim answers had no bound at all. Spoilt answers reached the module as Broken, which ejects servers and proves idle connections dead, though all servers spoil alike.

Now one limited reader bounds each answer, declared lengths over 64 KiB, 101 and unframed answers are spoilt at once, and the module knows Spoilt (may have run, server and connection were not dead) and Closed. Lists are bounded to 1 MiB, their heads to 64 KiB.

--- a/decide/api.go
+++ b/decide/api.go
@@ -171,6 +171,7 @@
 	Broken      // connection lost while waiting
 	Cancelled
 	NotSent
+	Spoilt // an answer that is none; it came, so neither server nor connection was dead
 )
 
 // Outcome ends one attempt.
@@ -181,6 +182,7 @@
 	Result  Result
 	Elapsed time.Duration // since the send
 	Final   bool          // the request is finished
+	Closed  bool          // its connection is of no further use
 }
 
 // Probed ends one probe.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -786,8 +786,10 @@
 	if o.Result == Unconnected {
 		b.unmade += 1.0 / unmadeMemory
 	}
-	if o.Result == Served || o.Result == Errored || o.Result == Full {
-		a.server.idle = append(a.server.idle, b.now)
+	if o.Result == Served || o.Result == Errored || o.Result == Full || o.Result == Spoilt {
+		if !o.Closed && o.Result != Spoilt {
+			a.server.idle = append(a.server.idle, b.now)
+		}
 		b.idled(a, false)
 	} else if o.Result == Broken || o.Result == TimedOut && !a.overdue {
 		b.idled(a, true)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -539,3 +539,42 @@
 		t.Errorf("picked %v, want the only server that knows the call", s)
 	}
 }
+
+// A spoilt answer may have run, but it came: it must not eject its server or
+// zone, for all servers may spoil alike, nor count as proof that connections die
+// while idle. Its connection is gone, and so is one that its answer closed: a
+// send that counted on it would need a new one.
+func TestSpoiltAnswers(t *testing.T) {
+	now := time.Second
+	b := node(1)
+	s := b.servers["s0"]
+	send := func(result Result, closed bool) {
+		t.Helper()
+		now += 10 * time.Second // idle for long
+		nextID++
+		sent := false
+		for _, a := range b.Request(now, Request{ID: nextID, Tenant: -1, TTL: 2 * time.Second}, nil) {
+			sent = sent || a.Kind == Send
+		}
+		if !sent {
+			t.Fatal("not sent")
+		}
+		b.Outcome(now+ms, Outcome{Request: nextID, Server: "s0", Result: result, Final: true, Closed: closed}, nil)
+	}
+	send(Served, false)
+	if len(s.idle) != 1 {
+		t.Errorf("%d idle connections after an answer", len(s.idle))
+	}
+	for range 2 * ejectAfter {
+		send(Spoilt, true)
+		if len(s.idle) != 0 {
+			t.Errorf("%d idle connections after a spoilt answer", len(s.idle))
+		}
+	}
+	if s.ejects > 0 || s.zone.ejects > 0 || b.stale < gapSpans {
+		t.Errorf("ejected %d times, its zone %d; dead from span %d", s.ejects, s.zone.ejects, b.stale)
+	}
+	if send(Served, true); len(s.idle) != 0 {
+		t.Errorf("%d idle connections after an answer that closed its own", len(s.idle))
+	}
+}
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -146,7 +146,10 @@
 		}
 		final := f.result == Served && c != nil && w.now <= c.deadline
 		w.handle(func(out []Action) []Action {
-			return w.balancer.Outcome(w.now, Outcome{f.request, f.attempt, f.server, f.result, f.took, final}, out)
+			return w.balancer.Outcome(w.now, Outcome{
+				Request: f.request, Attempt: f.attempt, Server: f.server, Result: f.result, Elapsed: f.took,
+				Final: final, Closed: f.result == Spoilt,
+			}, out)
 		}, func() {
 			if final {
 				delete(w.open, f.request)
@@ -329,7 +332,7 @@
 		}
 	}
 	took := time.Duration(1+w.rng.IntN(300)) * ms
-	result := []Result{Served, Served, Served, Errored, Full, Unconnected, Broken, Served}[w.rng.IntN(8)]
+	result := []Result{Served, Served, Served, Errored, Full, Unconnected, Broken, Served, Spoilt}[w.rng.IntN(9)]
 	if took >= a.Wait || w.rng.IntN(20) == 0 { // slow, or silent for ever
 		took, result = a.Wait, TimedOut
 	}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -25,7 +25,8 @@
 	// A call is worked through in turn; one that has had no answer by now is lost.
 	callWait     = 5 * time.Second
 	callConnect  = time.Second
-	mostListSize = 16 << 20
+	mostListSize = 1 << 20 // some 5000 servers; the smallest node has 32 MB for all it does
+	mostListHead = 64 << 10
 )
 
 // entry is a server in a list: what the module is told, and where to dial it.
@@ -130,6 +131,8 @@
 			DisableCompression:  true,
 			MaxIdleConnsPerHost: 1,
 			MaxConnsPerHost:     2, // a watch and a fetch
+
+			MaxResponseHeaderBytes: mostListHead,
 		}},
 		left: left, leave: leave,
 	}
@@ -283,7 +286,7 @@
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, mostListSize))
+	text, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, mostListSize))
 	if err != nil {
 		return nil, fmt.Errorf("discovery: reading the list: %w", err)
 	}
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -117,23 +119,23 @@
 	q := &call{method: http.MethodGet, uri: "/look/1", host: "app.svc", txn: "1"}
 	p := &peer{id: "s0", address: s.addr()}
 	p.closed.Store(true)
-	if result, _ := up.attempt(t.Context(), p, q, clock.now()+patience); result != decide.NotSent {
-		t.Errorf("to a drained server: %v", result)
+	if o := up.attempt(t.Context(), p, q, clock.now()+patience); o.result != decide.NotSent {
+		t.Errorf("to a drained server: %v", o.result)
 	}
 	p.closed.Store(false)
 	q.over.Store(true)
-	if result, _ := up.attempt(t.Context(), p, q, clock.now()+patience); result != decide.NotSent {
-		t.Errorf("for a request that is over: %v", result)
+	if o := up.attempt(t.Context(), p, q, clock.now()+patience); o.result != decide.NotSent {
+		t.Errorf("for a request that is over: %v", o.result)
 	}
 	q.over.Store(false)
-	if result, _ := up.attempt(t.Context(), p, q, clock.now()-1); result != decide.Unconnected {
-		t.Errorf("with no time left: %v", result)
+	if o := up.attempt(t.Context(), p, q, clock.now()-1); o.result != decide.Unconnected {
+		t.Errorf("with no time left: %v", o.result)
 	}
 	if s.seen() != 0 || budget.open.Load() != 0 {
 		t.Errorf("%d requests came, %d sockets are open", s.seen(), budget.open.Load())
 	}
-	if result, resp := up.attempt(t.Context(), p, q, clock.now()+patience); result != decide.Served || string(resp.body) != "fine" {
-		t.Errorf("then: %v", result)
+	if o := up.attempt(t.Context(), p, q, clock.now()+patience); o.result != decide.Served || string(o.response.body) != "fine" {
+		t.Errorf("then: %v", o.result)
 	}
 	up.sweep(true)
 	if budget.open.Load() != 0 {
@@ -182,3 +184,25 @@
 	cancel()
 	<-done
 }
+
+// A list or a head without end must fail the call early: the node's memory is
+// small, and discovery may be broken like any other server.
+func TestEndlessLists(t *testing.T) {
+	for name, parts := range map[string][2]string{
+		"list": {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n[", "[],"},
+		"head": {"HTTP/1.1 200 OK\r\n", "X-More: more\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sent := make(chan int, 1)
+			address := rawServer(t, func(c net.Conn) {
+				io.WriteString(c, parts[0])
+				endless(parts[1], sent)(c)
+			})
+			d := newDiscovery(address, quiet(), nil)
+			if l, err := d.call(t.Context(), "", patience); err == nil {
+				t.Errorf("took %v for a list", l)
+			}
+			<-sent // the connection is closed while the service still writes
+		})
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -62,9 +62,8 @@
 	departed struct{ *pending }
 	ended    struct {
 		*attempt
-		result   decide.Result
-		response *response
-		elapsed  time.Duration
+		outcome
+		elapsed time.Duration
 	}
 	listed  struct{ *list } // nil: a call failed
 	closing struct{}        // the node ends: fail what is left
@@ -254,7 +253,7 @@
 	l.forget(p)
 	l.carryOut(l.balancer.Outcome(l.now, decide.Outcome{
 		Request: p.request.ID, Attempt: e.number, Server: e.server, Result: e.result,
-		Elapsed: e.elapsed, Final: final,
+		Elapsed: e.elapsed, Final: final, Closed: e.closed,
 	}, l.actions[:0]))
 }
 
@@ -358,14 +357,14 @@
 	p.out++
 	server := l.peers[a.Server]
 	if server == nil || p.answered {
-		l.unsent = append(l.unsent, ended{attempt: t, result: decide.NotSent})
+		l.unsent = append(l.unsent, ended{attempt: t, outcome: outcome{result: decide.NotSent, closed: true}})
 		return
 	}
 	sent, call := l.now, p.call
 	until := min(sent+a.Wait, p.deadline-safetyMargin)
 	l.tries.Go(func() {
-		result, resp := l.upstream.attempt(ctx, server, call, until)
-		l.post(ended{attempt: t, result: result, response: resp, elapsed: l.clock.now() - sent})
+		o := l.upstream.attempt(ctx, server, call, until)
+		l.post(ended{attempt: t, outcome: o, elapsed: l.clock.now() - sent})
 	})
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -252,7 +252,7 @@
 			n.upstream.mu.Lock()
 			defer n.upstream.mu.Unlock()
 			for _, c := range n.upstream.idle["s0"] {
-				if c.alive() {
+				if alive, _ := c.look(); alive {
 					return false
 				}
 			}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -20,7 +21,10 @@
 	"curlewring/decide"
 )
 
-const mostBody = 64 << 10
+const (
+	mostBody   = 64 << 10
+	mostAnswer = mostBody + 64<<10 // with heads, interim answers and chunks
+)
 
 // peer is a server as the loop knows it, for the attempts that are on their way
 // to it.
@@ -45,6 +49,13 @@
 	body []byte
 }
 
+// outcome is how an attempt ended.
+type outcome struct {
+	result   decide.Result
+	response *response // served
+	closed   bool      // its connection is not kept
+}
+
 // upstream makes attempts. It keeps connections to servers, of which each
 // carries one request at a time. net/http's Transport is no use here: it sends
 // requests again by itself, which may let an effect happen twice.
@@ -53,6 +64,7 @@
 	sockets        *sockets
 	connectTimeout time.Duration
 	idleFor        time.Duration // connections are closed when idle for this
+	untidy         atomic.Bool   // a server has sent more than its answer
 
 	mu   sync.Mutex
 	idle map[string][]*conn // by server; the last was used last
@@ -61,7 +73,8 @@
 type conn struct {
 	net.Conn
 	address   string
-	reader    *bufio.Reader
+	limit     *io.LimitedReader // what the answer may still bring
+	reader    *bufio.Reader     // reads from limit
 	raw       syscall.RawConn
 	sockets   *sockets
 	idleSince time.Duration
@@ -76,6 +89,12 @@
 // lest a request cross the server's closing on the way.
 const idleMargin = 250 * time.Millisecond
 
+// settling is how long a connection rests after an answer, once any server has
+// sent something behind one. It is seen by then; in use again, the connection
+// would pass it for the next request's answer. Until then no connection rests:
+// calls that follow each other closely would each need a new one.
+const settling = 5 * time.Millisecond
+
 func newUpstream(clock clock, sockets *sockets, set *decide.Settings) *upstream {
 	u := &upstream{
 		clock: clock, sockets: sockets, connectTimeout: set.ConnectTimeout, idleFor: set.ConnIdle,
@@ -91,35 +110,43 @@
 	return u
 }
 
-// get returns the connection to a server that was used last, or nil.
+// get returns the connection to a server that was used last and has come to
+// rest, or nil.
 func (u *upstream) get(p *peer) *conn {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	for {
-		stack := u.idle[p.id]
-		if len(stack) == 0 {
-			return nil
+	for at := len(u.idle[p.id]) - 1; at >= 0; at-- {
+		c := u.idle[p.id][at]
+		rested := u.clock.now() - c.idleSince
+		if u.untidy.Load() && rested < settling && c.address == p.address {
+			continue
 		}
-		c := stack[len(stack)-1]
-		u.idle[p.id] = stack[:len(stack)-1]
-		if c.address == p.address && u.clock.now()-c.idleSince < u.idleFor && c.alive() {
-			return c
+		u.idle[p.id] = slices.Delete(u.idle[p.id], at, at+1)
+		if c.address == p.address && rested < u.idleFor {
+			alive, more := c.look()
+			if alive {
+				return c
+			}
+			if more {
+				u.untidy.Store(true)
+			}
 		}
 		c.close()
 	}
+	return nil
 }
 
-// put keeps a connection for the next request.
-func (u *upstream) put(p *peer, c *conn) {
+// put keeps a connection for the next request, unless its server wants none.
+func (u *upstream) put(p *peer, c *conn) bool {
 	c.SetDeadline(time.Time{}) // once past, it would fail the look that get takes
 	c.idleSince = u.clock.now()
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if p.closed.Load() {
-		c.close()
-		return
+		return false
 	}
 	u.idle[p.id] = append(u.idle[p.id], c)
+	return true
 }
 
 // hangUp closes the idle connections to a server.
@@ -167,16 +194,16 @@
 	return true
 }
 
-// alive tells whether an idle connection has nothing to read, not even its end.
-func (c *conn) alive() bool {
-	quiet := false
+// look tells whether an idle connection has nothing to read, not even its end,
+// and if not, whether something came on it.
+func (c *conn) look() (alive, more bool) {
 	err := c.raw.Read(func(fd uintptr) bool {
 		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		alive, more = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK, n > 0
 		return true
 	})
-	return err == nil && quiet
+	return err == nil && alive, more
 }
 
 // dial opens a connection to a server.
@@ -202,34 +229,40 @@
 		u.sockets.give()
 		return nil, fmt.Errorf("dialing %s: %w", p.id, err)
 	}
-	return &conn{Conn: nc, address: p.address, reader: bufio.NewReader(nc), raw: raw, sockets: u.sockets}, nil
+	limit := &io.LimitedReader{R: nc}
+	return &conn{
+		Conn: nc, address: p.address, limit: limit, reader: bufio.NewReader(limit), raw: raw, sockets: u.sockets,
+	}, nil
 }
 
 // attempt sends a request to a server once and waits for the answer until a
 // point in time. Ending the context calls the attempt off.
-func (u *upstream) attempt(ctx context.Context, p *peer, q *call, until time.Duration) (decide.Result, *response) {
+func (u *upstream) attempt(ctx context.Context, p *peer, q *call, until time.Duration) outcome {
 	c := u.get(p)
 	if c == nil {
 		var err error
 		if c, err = u.dial(ctx, p, until); err != nil {
 			if ctx.Err() != nil {
-				return decide.NotSent, nil
+				return outcome{result: decide.NotSent, closed: true}
 			}
-			return decide.Unconnected, nil
+			return outcome{result: decide.Unconnected, closed: true}
 		}
 	}
-	keep := false
-	defer func() {
-		if keep {
-			u.put(p, c)
-		} else {
-			c.close()
-		}
-	}()
+	o, keep := u.exchange(ctx, c, p, q, until)
+	if keep = keep && u.put(p, c); !keep {
+		c.close()
+	}
+	o.closed = !keep
+	return o
+}
+
+// exchange makes an attempt on a connection, and tells whether the connection is
+// as it was.
+func (u *upstream) exchange(ctx context.Context, c *conn, p *peer, q *call, until time.Duration) (_ outcome, keep bool) {
 	// The connection may have taken a while: the server may drain by now, and
 	// the request may be over.
 	if ctx.Err() != nil || q.over.Load() || p.closed.Load() {
-		return decide.NotSent, nil
+		return outcome{result: decide.NotSent}, false
 	}
 	c.SetDeadline(u.clock.wall(until))
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
@@ -237,38 +270,47 @@
 
 	left := until - u.clock.now()
 	if left <= 0 {
-		return decide.NotSent, nil
+		return outcome{result: decide.NotSent}, false
 	}
 	message, err := q.encode(p.address, left)
 	if err != nil {
-		return decide.Unconnected, nil
+		return outcome{result: decide.Unconnected}, false
 	}
 	if n, _ := c.Write(message); n < len(message) { // its last byte never left, so it can't run
 		if ctx.Err() != nil {
-			return decide.NotSent, nil
+			return outcome{result: decide.NotSent}, false
 		}
-		return decide.Unconnected, nil
+		return outcome{result: decide.Unconnected}, false
 	}
 	resp, body, err := c.read(q.method)
 	if err != nil {
 		switch {
 		case ctx.Err() != nil:
-			return decide.Cancelled, nil
+			return outcome{result: decide.Cancelled}, false
 		case isTimeout(err):
-			return decide.TimedOut, nil
+			return outcome{result: decide.TimedOut}, false
+		case c.limit.N > 0 && isBreak(err):
+			return outcome{result: decide.Broken}, false
 		}
-		return decide.Broken, nil
+		return outcome{result: decide.Spoilt}, false
+	}
+	// Only a call-off that has not begun leaves the connection as it was, and
+	// only an answer with nothing behind it.
+	more := c.reader.Buffered() > 0
+	if more {
+		u.untidy.Store(true)
 	}
-	// Only a call-off that has not begun leaves the connection as it was.
-	keep = !resp.Close && c.reader.Buffered() == 0 && stop()
+	keep = !resp.Close && !more && stop()
 	switch {
 	case resp.StatusCode == http.StatusOK:
-		return decide.Served, &response{kind: resp.Header.Get("Content-Type"), body: body}
+		return outcome{
+			result: decide.Served, response: &response{kind: resp.Header.Get("Content-Type"), body: body},
+		}, keep
 	case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
 		resp.Header.Get("X-Turned-Away") == "1":
-		return decide.Full, nil
+		return outcome{result: decide.Full}, keep
 	}
-	return decide.Errored, nil
+	return outcome{result: decide.Errored}, keep
 }
 
 // encode writes the request out, to be sent in one piece.
@@ -302,16 +344,27 @@
 	return message.Bytes(), nil
 }
 
-// read takes a whole answer off the connection.
+// read takes a whole answer off the connection. Whatever a server sends, it keeps
+// no more than mostAnswer of it.
 func (c *conn) read(method string) (*http.Response, []byte, error) {
+	c.limit.N = mostAnswer
 	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-	for err == nil && resp.StatusCode < http.StatusOK { // an interim answer
+	for err == nil && resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols { // interim
 		resp, err = http.ReadResponse(c.reader, &http.Request{Method: method})
 	}
 	if err != nil {
 		return nil, nil, fmt.Errorf("reading the answer: %w", err)
 	}
-	defer resp.Body.Close()
+	// The body is not closed: that would read all of it first, or wait for it.
+	switch {
+	case resp.StatusCode == http.StatusSwitchingProtocols:
+		return nil, nil, errors.New("the answer leaves HTTP")
+	case resp.ContentLength > mostBody:
+		return nil, nil, fmt.Errorf("the answer is said to be larger than %d bytes", mostBody)
+	case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
+		// It ends where the connection does: a whole one looks like a cut one.
+		return nil, nil, errors.New("the answer does not tell its end")
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, mostBody+1))
 	if err != nil {
 		return nil, nil, fmt.Errorf("reading the answer: %w", err)
@@ -326,3 +379,9 @@
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
+
+// isBreak tells whether the connection ended, in order or not.
+func isBreak(err error) bool {
+	var broken net.Error
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &broken)
+}
--- /dev/null
+++ b/internal/node/upstream_test.go
@@ -0,0 +1,207 @@
+package node
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"curlewring/decide"
+)
+
+// rawServer answers each request on a connection with what answer writes.
+func rawServer(t *testing.T, answer func(net.Conn)) (address string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				for in := bufio.NewReader(c); ; {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, r.Body)
+					answer(c)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// testAttempt makes one attempt at a server.
+func testAttempt(t *testing.T, u *upstream, address string) outcome {
+	t.Helper()
+	q := &call{method: http.MethodGet, uri: "/look/1", host: "app.svc", txn: newID()}
+	return u.attempt(t.Context(), &peer{id: "s0", address: address}, q, u.clock.now()+patience)
+}
+
+func newTestUpstream() *upstream {
+	return newUpstream(newClock(), newSockets(100), &decide.Settings{ConnectTimeout: patience, ConnIdle: patience})
+}
+
+// endless writes a text again and again until the connection is closed, and
+// tells how much was taken.
+func endless(text string, sent chan<- int) func(net.Conn) {
+	return func(c net.Conn) {
+		total := 0
+		defer func() { sent <- total }()
+		c.SetWriteDeadline(time.Now().Add(patience))
+		for block := []byte(strings.Repeat(text, 1000)); ; {
+			n, err := c.Write(block)
+			total += n
+			if err != nil {
+				return
+			}
+		}
+	}
+}
+
+// Whatever a server sends for an answer, it must be told apart from one that is
+// whole, may have run, says nothing of the server's health, and ends its
+// connection: what else comes on it would pass for the next request's answer. It
+// is known at once: closing a body reads all that it is said to hold, which kept
+// the request waiting for as long as it had time.
+func TestSpoiltAnswers(t *testing.T) {
+	for name, text := range map[string]string{
+		"noise":                "\x00\xff\x13\r\n\r\n",
+		"odd head":             "HTTP/1.1 200 OK\r\nbad header\r\n\r\n",
+		"odd status":           "HTTP/1.1 abc OK\r\nContent-Length: 4\r\n\r\nfine",
+		"negative length":      "HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\nfine",
+		"two lengths":          "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nfine!",
+		"3 GB":                 "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nfine",
+		"no length":            "HTTP/1.1 200 OK\r\n\r\nfine",
+		"odd chunks":           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nfine\r\n",
+		"too large":            "HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + strings.Repeat("x", 65537),
+		"another protocol":     "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n",
+		"a head as large as 1": "HTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("x", 2*mostAnswer),
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := newTestUpstream()
+			address := rawServer(t, func(c net.Conn) { io.WriteString(c, text) })
+			begun := u.clock.now()
+			if o := testAttempt(t, u, address); o.result != decide.Spoilt || !o.closed {
+				t.Errorf("ended as %v, closed %v", o.result, o.closed)
+			}
+			if took := u.clock.now() - begun; took > patience/2 {
+				t.Errorf("took %v", took)
+			}
+			if open := u.sockets.open.Load(); open != 0 {
+				t.Errorf("%d connections are left", open)
+			}
+		})
+	}
+}
+
+// An answer without end must be cut off early: at full speed it would pass the
+// limit on memory within a moment.
+func TestEndlessAnswers(t *testing.T) {
+	for name, parts := range map[string][2]string{
+		"head":    {"HTTP/1.1 200 OK\r\n", "X-More: more\r\n"},
+		"line":    {"HTTP/1.1 200 OK\r\nX-Long: ", "more"},
+		"interim": {"", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		"chunks":  {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nmore\r\n"},
+		"body":    {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "more"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			u, sent := newTestUpstream(), make(chan int, 1)
+			address := rawServer(t, func(c net.Conn) {
+				io.WriteString(c, parts[0])
+				endless(parts[1], sent)(c)
+			})
+			if o := testAttempt(t, u, address); o.result != decide.Spoilt || !o.closed {
+				t.Errorf("ended as %v, closed %v", o.result, o.closed)
+			}
+			<-sent // the connection is closed while the server still writes
+		})
+	}
+}
+
+// Interim answers belong to a good one, and so do odd headers that the node has
+// no use for.
+func TestGoodAnswersWithMore(t *testing.T) {
+	u := newTestUpstream()
+	address := rawServer(t, func(c net.Conn) {
+		io.WriteString(c, "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n"+
+			"HTTP/1.1 200 OK\r\nX-Pressure: {{\r\nContent-Length: 4\r\n\r\nfine")
+	})
+	if o := testAttempt(t, u, address); o.result != decide.Served || string(o.response.body) != "fine" || o.closed {
+		t.Errorf("ended as %v, closed %v", o.result, o.closed)
+	}
+	u.sweep(true)
+}
+
+// What comes behind an answer must not pass for the next request's, whether it
+// comes with the answer or a moment later: the connection rests before it is
+// used again, and is looked at right before.
+func TestNothingBehindAnAnswerIsServed(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
+	for name, later := range map[string]bool{"at once": false, "later": true} {
+		t.Run(name, func(t *testing.T) {
+			u, served := newTestUpstream(), make(chan struct{})
+			address := rawServer(t, func(c net.Conn) {
+				if !later {
+					io.WriteString(c, whole+"fine"+whole+"copy")
+					return
+				}
+				io.WriteString(c, whole+"fine")
+				<-served
+				io.WriteString(c, whole+"copy")
+			})
+			first := testAttempt(t, u, address)
+			if first.result != decide.Served || string(first.response.body) != "fine" || first.closed == later {
+				t.Fatalf("ended as %v, closed %v", first.result, first.closed)
+			}
+			close(served)
+			if later {
+				c := u.idle["s0"][0]
+				waitFor(t, "the copy is there", func() bool { alive, _ := c.look(); return !alive })
+			}
+			if o := testAttempt(t, u, address); o.result != decide.Served || string(o.response.body) != "fine" {
+				t.Errorf("then: %v", o)
+			}
+			if !u.untidy.Load() {
+				t.Error("it was not noticed")
+			}
+			u.sweep(true)
+		})
+	}
+}
+
+// Once a server has sent something behind an answer, a connection that has just
+// had its answer must not be used again before what may come has had a moment to
+// arrive. Where none does, that would only cost new connections.
+func TestConnectionsRest(t *testing.T) {
+	u := newTestUpstream()
+	address := rawServer(t, func(c net.Conn) { io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n") })
+	p := &peer{id: "s0", address: address}
+	testAttempt(t, u, address)
+	c := u.idle["s0"][0]
+	if got := u.get(p); got != c {
+		t.Errorf("got %v where nothing came behind an answer", got)
+	}
+	u.put(p, c)
+	u.untidy.Store(true)
+	c.idleSince = u.clock.now() + time.Hour // it never comes to rest
+	if got := u.get(p); got != nil || len(u.idle["s0"]) != 1 {
+		t.Errorf("got %v of %d connections", got, len(u.idle["s0"]))
+	}
+	c.idleSince = u.clock.now() - settling
+	if got := u.get(p); got != c {
+		t.Errorf("got %v once it has rested", got)
+	}
+	c.close()
+}
