--- a/decide/decide.go
+++ b/decide/decide.go
@@ -830,6 +830,9 @@
 			s.zone.fail(b.now, min(2*ejectAfter, max(ejectAfter, s.zone.members)))
 		}
 		s.fail(b.now, ejectAfter)
+	case Errored:
+		// Some in a row are the server's own: those of a tier behind come at all servers, and are then not trusted.
+		s.fail(b.now, ejectAfter)
 	}
 }
 
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -540,6 +540,22 @@
 	}
 }
 
+// A server that answers every call with an error at once holds none, and would
+// look the least loaded of all: it must be ejected. Its zone is not at fault.
+func TestErringServerIsEjected(t *testing.T) {
+	b := node(4)
+	s := b.servers["s1"]
+	for range ejectAfter {
+		b.judge(s, Errored)
+	}
+	if !s.out(b.now) || s.zone.out(b.now) {
+		t.Errorf("ejected %v, its zone %v", s.out(b.now), s.zone.out(b.now))
+	}
+	if b.judge(s, Served); s.out(b.now) {
+		t.Error("a server that serves again stays ejected")
+	}
+}
+
 // A spoilt answer may have run, but it came: it must not eject its server or
 // zone, for all servers may spoil alike, nor count as proof that connections die
 // while idle. Its connection is gone, and so is one that its answer closed: a
