Notice a swallowed watch in seconds; serve on for a while after SIGTERM

Ruled out: cold budgets (no new server was ever known), the curves (r follows what the servers do), descriptors (58 of 384).

Cause: the watch was swallowed in silence, and waits up to 60 s (discovery.go, watchWait).

Now a watch waits 1.5 s a node of the tier, 6 to 60 s, and is lost 1 s later: discovery counts it as told after 2 s.

Where a zone has no other node its clients had nowhere to go, and each answer closed their connection. The end of the node is no failed watch any more in the log.

--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -34,7 +34,7 @@
 	effects  []decide.Effect
 	waits    []time.Duration // how long clients wait at the most, by class
 	server   *http.Server
-	leaving  atomic.Bool  // a planned end has begun
+	leaving  atomic.Bool  // a planned end has begun: no longer ready
 	accepted atomic.Int64 // when the last connection came, on the clock
 
 	mu   sync.Mutex
@@ -124,7 +124,6 @@
 	s.loop.post(arrived{p})
 	select {
 	case a := <-p.answer:
-		s.partIfLeaving(w)
 		s.write(w, a)
 	case <-r.Context().Done():
 		s.loop.post(departed{p})
@@ -154,14 +153,6 @@
 	delete(s.open, txn)
 }
 
-// partIfLeaving closes the connection with the answer once a planned end has
-// begun. It looks at the time of the answer: the request may have come before.
-func (s *callers) partIfLeaving(w http.ResponseWriter) {
-	if s.leaving.Load() {
-		w.Header().Set("Connection", "close")
-	}
-}
-
 // write passes the final answer on.
 func (s *callers) write(w http.ResponseWriter, a answer) {
 	switch a.ending {
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -17,11 +17,18 @@
 )
 
 const (
-	// Discovery can send so many lines a second to the whole fleet, and every
-	// call costs some: a watch waits as long as the protocol allows, less a
-	// random part, so that the calls of a fleet do not fall together.
-	watchWait   = 60 * time.Second
+	// A network may swallow a watch in silence, and then the node goes on with an
+	// old list until its wait is over. But discovery can send so many lines a
+	// second to the whole fleet, and every call costs some: so a watch waits the
+	// longer the more nodes there are, within what the protocol allows, less a
+	// random part, lest the calls of a fleet fall together.
+	watchANode  = 1500 * time.Millisecond
+	watchLeast  = 6 * time.Second
+	watchMost   = 60 * time.Second
 	watchSpread = 10 // up to one part in so many
+	// What a watch has to tell counts as told 2 s after its wait is over. One that
+	// has had no answer by now is lost, and leaves the time for another.
+	watchLate = time.Second
 	// A call is worked through in turn; one that has had no answer by now is lost.
 	callWait     = 5 * time.Second
 	callConnect  = time.Second
@@ -138,13 +145,14 @@
 	}
 }
 
-func newDiscovery(address string, log *slog.Logger, report func(*list)) *discovery {
+func newDiscovery(address string, nodes int, log *slog.Logger, report func(*list)) *discovery {
 	d := &discovery{
-		log:    log,
-		watch:  make(chan bool, 1),
-		fetch:  make(chan struct{}, 1),
-		report: report,
-		long:   watchWait, patient: callWait,
+		log:     log,
+		watch:   make(chan bool, 1),
+		fetch:   make(chan struct{}, 1),
+		report:  report,
+		long:    min(max(watchLeast, time.Duration(nodes)*watchANode), watchMost),
+		patient: callWait,
 	}
 	d.service.Store(newService(address))
 	return d
@@ -224,8 +232,8 @@
 // watchOnce makes one call of a watch, and returns whether the watch goes on,
 // whether it is still wanted, and the generation to ask from. Turning the watch
 // off ends the call.
-func (d *discovery) watchOnce(ctx context.Context, since *uint64) (on, wanted bool, _ *uint64) {
-	ctx, cancel := context.WithCancel(ctx)
+func (d *discovery) watchOnce(life context.Context, since *uint64) (on, wanted bool, _ *uint64) {
+	ctx, cancel := context.WithCancel(life)
 	defer cancel()
 	off := make(chan bool, 1)
 	go func() { // ends with this call
@@ -246,11 +254,11 @@
 	query, wait := "", d.patient
 	if since != nil {
 		long := d.long - rand.N(d.long/watchSpread)
-		query, wait = fmt.Sprintf("?since=%d&timeout_ms=%d", *since, long.Milliseconds()), long+d.patient
+		query, wait = fmt.Sprintf("?since=%d&timeout_ms=%d", *since, long.Milliseconds()), long+min(watchLate, d.patient)
 	}
 	l, err := d.call(ctx, query, wait)
 	cancel()
-	if <-off {
+	if <-off || life.Err() != nil {
 		return false, false, since
 	}
 	if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,9 +15,11 @@
 )
 
 const (
-	// After the word to end, new connections go on coming for up to 0.4 s.
-	newcomersFor = 600 * time.Millisecond
-	quietFor     = 200 * time.Millisecond
+	// After the word to end, new connections go on coming for up to 0.4 s, and
+	// clients go on using those that they have: where there is no other node near,
+	// they have nowhere else to go. What comes last still has time for its answer.
+	stayFor  = 1500 * time.Millisecond
+	quietFor = 200 * time.Millisecond
 	// The kill comes no sooner than the longest deadline, of which this is the
 	// most, and 0.7 s more.
 	longestWait = 3 * time.Second
@@ -44,7 +46,7 @@
 	inner, stop := context.WithCancel(context.Background())
 	n.stop = stop
 	n.loop = newLoop(inner, c, n.clock, n.upstream, log)
-	n.loop.discovery = newDiscovery(c.Discovery, log, func(l *list) { n.loop.post(listed{l}) })
+	n.loop.discovery = newDiscovery(c.Discovery, c.Settings.Nodes, log, func(l *list) { n.loop.post(listed{l}) })
 	n.callers = newCallers(c, n.clock, n.loop, newClients(n.clock, clients), log)
 	address, err := net.ResolveTCPAddr("tcp", c.Listen)
 	if err != nil {
@@ -113,7 +115,7 @@
 	last := begun + min(longest, longestWait) + lastMargin
 	for {
 		now := n.clock.now()
-		quietAt := max(begun+newcomersFor, time.Duration(n.callers.accepted.Load())+quietFor)
+		quietAt := max(begun+stayFor, time.Duration(n.callers.accepted.Load())+quietFor)
 		if now >= min(quietAt, last) {
 			break
 		}
