Weigh a connection to be made by its price; let the first reading count by its outcomes

The first reading of r was the time of all calls over the one or two that had ended: a burst late in the first period read as 1.2 aims and shut the node.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -234,8 +234,12 @@
 		return
 	}
 	// A period without outcomes keeps r; few move it little, lest one slow answer shut a node that sees few.
-	if b.count > 0 {
-		b.r += (b.sum/b.count - b.r) * b.count / (b.count + min(countMemory, b.outcomes))
+	// So with the first reading: a burst late in a period has many calls here, and one or two that ended.
+	if memory := min(countMemory, b.outcomes); b.count > 0 {
+		if memory == 0 {
+			memory = firstSamples
+		}
+		b.r += (b.sum/b.count - b.r) * b.count / (b.count + memory)
 		b.outcomes += b.count
 	}
 	b.widen()
@@ -823,7 +827,7 @@
 }
 
 // pick finds the less loaded of two random members of the subset, and in other zones likewise; the far one
-// is taken where it is idler by farCost. Where half the subset is ejected the fault is hardly the servers',
+// is taken where it is idler by its cost. Where half the subset is ejected the fault is hardly the servers',
 // and none of it is trusted.
 func (b *Balancer) pick(c *call) *server {
 	if c.ran && b.set.Classes[c.Class].Effect == Keyed && b.set.Classes[c.Class].Group != GroupAll {
@@ -839,16 +843,17 @@
 	trust := 2*out < len(b.near)+len(b.far)
 	near := b.choice(c, b.near, trust)
 	far := b.choice(c, b.far, trust)
-	if near == nil || far != nil && (b.farCost()*b.load(far) < b.load(near)) {
+	if near == nil || far != nil && (b.cost(b.set.Prices.CrossZone)*b.load(far) < b.load(near)) {
 		return far
 	}
 	return near
 }
 
-// farCost is how many times as loaded a far server counts. A call of b.late aims saves b.late*(1-1/x) at one
-// x times as idle; an aim saved is taken to be worth a request, and must exceed the price.
-func (b *Balancer) farCost() float64 {
-	return 1 / max(1e-3, 1-b.set.Prices.CrossZone/max(b.late, 1e-6))
+// cost is how many times as loaded a server counts where a send there has a price. A call of b.late aims
+// saves b.late*(1-1/x) at one x times as idle; an aim saved is taken to be worth a request, and must exceed
+// the price.
+func (b *Balancer) cost(price float64) float64 {
+	return 1 / max(1e-3, 1-price/max(b.late, 1e-6))
 }
 
 // choice picks the less loaded of two random servers of a list that may take a call. Of a long list two are
@@ -891,9 +896,14 @@
 }
 
 // load is a server's load: this node's own calls there, each weighed by how slow the server has lately
-// been. With one call in flight or none, as on most servers of a large fleet, the count alone is blind.
+// been. With one call in flight or none, as on most servers of a large fleet, the count alone is blind. Where
+// a connection would have to be made, its price counts as a far server's does.
 func (b *Balancer) load(s *server) float64 {
-	return float64(s.inflight+1) * b.slowness(s)
+	load := float64(s.inflight+1) * b.slowness(s)
+	if len(s.idle) == 0 {
+		load *= b.cost(b.set.Prices.Handshake)
+	}
+	return load
 }
 
 // slowness is a server's response time against that of all: what its size says, and what was seen beyond
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -91,12 +91,31 @@
 	}{{0, 0.4, 1}, {0.2, 0.4, 2}, {0.2, 0.25, 5}, {0.2, 0.1, 1000}, {0.2, 0, 1000}} {
 		b := twoZones(c.price)
 		b.late = c.late
-		if got := b.farCost(); math.Abs(got-c.want) > 1e-6 {
+		if got := b.cost(b.set.Prices.CrossZone); math.Abs(got-c.want) > 1e-6 {
 			t.Errorf("price %v, response time %v: a far server counts %v times, want %v", c.price, c.late, got, c.want)
 		}
 	}
 }
 
+// A new connection has a price: of two servers that are about as loaded the one with a connection to spare is
+// taken, and one that is idler by more than the price all the same.
+func TestNewConnectionIsWeighedByItsPrice(t *testing.T) {
+	for _, c := range []struct {
+		price, slower float64 // of the server with a connection
+		want          string
+	}{{0, 1.05, "b"}, {0.03, 1.05, "a"}, {0.03, 1.2, "b"}} {
+		b := node(0)
+		b.Members(time.Second, Members{Change: ListFull, Servers: []Server{{ID: "a"}, {ID: "b"}}}, nil)
+		b.set.Prices.Handshake, b.late = c.price, 0.3
+		b.servers["a"].idle = []time.Duration{time.Second}
+		b.servers["a"].late, b.servers["a"].lateAt = c.slower-1, time.Second
+		out := b.Request(time.Second, Request{ID: 1, Tenant: -1, TTL: time.Second}, nil)
+		if len(out) == 0 || out[0].Kind != Send || out[0].Server != c.want {
+			t.Errorf("price %v, the connected one %v times as slow: %+v, want a send to %s", c.price, c.slower, out, c.want)
+		}
+	}
+}
+
 // timeOut ends every call sent to a server with a time-out.
 func timeOut(b *Balancer, now time.Duration, server string) {
 	for _, id := range slices.Sorted(maps.Keys(b.calls)) {
--- a/decide/room_test.go
+++ b/decide/room_test.go
@@ -240,3 +240,42 @@
 		t.Errorf("%d of 2 unsafe requests went to the one that has answered", sent)
 	}
 }
+
+// The first reading of r counts by the outcomes behind it. 128 callers who come late in a period have all waited a
+// little, and one or two answers have come: that is no overload. A node that starts into one still finds out.
+func TestFirstReadingCountsByItsOutcomes(t *testing.T) {
+	answer := func(b *Balancer, id uint64, at, took time.Duration) {
+		c := b.calls[id]
+		b.Outcome(at, Outcome{Request: id, Server: c.attempts[0].server.ID, Result: Served, Elapsed: took, Final: true}, nil)
+	}
+	for late := 10 * ms; late <= 30*ms; late += 2 * ms {
+		for answers := uint64(1); answers <= 4; answers++ {
+			b := node(8)
+			from := nextID
+			end := time.Second + period
+			offer(b, end-late, 0, 128)
+			for i := range answers {
+				answer(b, from+1+i, end-ms, late-ms)
+			}
+			if sent := offer(b, end, 0, 10); sent < 10 {
+				t.Errorf("128 callers %v before the period's end, %d answered: %d of 10 sent", late, answers, sent)
+			}
+		}
+	}
+	// 150 requests a second at a node whose servers answer one in 70 ms: within three periods it is shut.
+	b, done := node(8), nextID
+	now := time.Second
+	for ; now < time.Second+3*period; now += 10 * ms {
+		b.Request(now, Request{ID: nextID + 1, Tenant: -1, TTL: 5 * time.Second}, nil)
+		nextID++
+		if now%(70*ms) == 0 && b.calls[done+1] != nil {
+			answer(b, done+1, now, 200*ms)
+			done++
+		}
+	}
+	b.Request(now, Request{ID: nextID + 1, Tenant: -1, TTL: 5 * time.Second}, nil)
+	nextID++
+	if b.r < curveTop {
+		t.Errorf("after three periods of overload r is %.2f", b.r)
+	}
+}
--- a/internal/virtual/boxes.go
+++ b/internal/virtual/boxes.go
@@ -142,6 +142,12 @@
 		result, how = decide.Errored, judge.Erred
 	}
 	r.end(t, how)
+	switch {
+	case r.cutOff(t.node, b) || r.mute > 0 && r.rng.Float64() < r.mute:
+		return // the node waits until the attempt's time is up
+	case r.resets > 0 && r.rng.Float64() < r.resets:
+		result = decide.Broken
+	}
 	r.after(way, func() { r.outcome(t, life, result) })
 }
 
@@ -193,6 +199,7 @@
 		sum += b.fall[i].work
 	}
 	can := float64(r.set.FallFor) * float64(b.cores) * b.speed * r.warmth(b)
+	r.result.Crowded = max(r.result.Crowded, float64(sum)/(1.1*r.set.FallMultiple*can+float64(2*work)))
 	if float64(sum) > 1.1*r.set.FallMultiple*can+float64(2*work) {
 		b.fallen = true
 		r.judge.Fell(r.now, b.id, fmt.Sprintf("%v of work in %v", sum, r.set.FallFor))
--- a/internal/virtual/config.go
+++ b/internal/virtual/config.go
@@ -50,6 +50,11 @@
 	Nodes  func(i int) bool
 	Dies   bool // these nodes
 	Lives  bool
+	// Replace takes these boxes out: each drains, and one of its kind starts cold in its place under an id of its own.
+	Replace bool
+	Cut     func(a, b int) bool // sites that no longer reach each other, in either order; to heal, none
+	Mute    *float64            // part of the answers that are lost from now on ...
+	Resets  *float64            // ... and of those whose connection is reset under the request
 }
 
 // Config describes a run.
@@ -69,7 +74,9 @@
 	Advice    time.Duration // the longest Retry-After; 0: none
 	InStep    bool          // retries come in step, without jitter
 	ListDelay time.Duration
-	Churn     float64 // boxes a second, as a share of all, that are replaced
+	ListLines float64       // lines a second that discovery sends to all nodes of a tier; 0: any number
+	DrainFor  time.Duration // a replaced box ends so long after the list has it draining
+	Churn     float64       // boxes a second, as a share of all, that are replaced
 	Choke     *Choke
 	ColdFrom  float64
 	ColdFor   time.Duration
@@ -136,6 +143,7 @@
 	Strangers   int       // of these, where something else answered ...
 	Unsafe      int       // ... an unsafe request
 	Breaches    []string
+	Crowded     float64       // the most work sent to a cold box in a window, to what the rule lets all nodes send; see tooMuch
 	TookAll     time.Duration // virtual time from the first to the last answer
 }
 
--- a/internal/virtual/faults.go
+++ b/internal/virtual/faults.go
@@ -11,6 +11,15 @@
 	if s.Rate > 0 {
 		r.rate = s.Rate
 	}
+	if s.Cut != nil {
+		r.apart = s.Cut
+	}
+	if s.Mute != nil {
+		r.mute = *s.Mute
+	}
+	if s.Resets != nil {
+		r.resets = *s.Resets
+	}
 	for i, b := range r.boxes[0] {
 		if s.Boxes == nil || !s.Boxes(i, b.site) {
 			continue
@@ -27,6 +36,9 @@
 		if s.Up {
 			r.up(b)
 		}
+		if s.Replace && !b.down {
+			r.replace(i)
+		}
 	}
 	for i, n := range r.nodes {
 		if s.Nodes == nil || !s.Nodes(i) {
@@ -58,6 +70,31 @@
 	}
 }
 
+// replace drains a box and starts one of its kind in its place, cold.
+func (r *run) replace(i int) {
+	old := r.boxes[0][i]
+	r.tell(old, decide.Draining)
+	r.after(r.c.DrainFor, func() { r.down(old) })
+	r.succeed(old, i)
+}
+
+// succeed starts a new box where an old one stood.
+func (r *run) succeed(old *box, i int) {
+	b := r.newBox(0, Kind{Cores: old.cores, Speed: old.speed, Slots: old.slots, Queue: old.room - old.slots}, old.site)
+	r.boxes[0] = r.boxes[0][:len(r.boxes[0])-1]
+	b.index = i
+	r.judge.Box(b.id, r.place(b)) // it stands where the old one stood
+	r.boxes[0][i] = b
+	b.started = r.start(r.now)
+	b.node = old.node
+	r.tell(b, decide.Healthy)
+}
+
+// cutOff tells whether nothing passes between a node's site and a box's.
+func (r *run) cutOff(n *node, b *box) bool {
+	return r.apart != nil && n.site != b.site && (r.apart(n.site, b.site) || r.apart(b.site, n.site))
+}
+
 // churn replaces boxes by new ones at a steady rate.
 func (r *run) churn() {
 	wait := time.Duration(float64(time.Second) / (r.c.Churn * float64(len(r.boxes[0]))))
@@ -68,16 +105,7 @@
 		i := r.rng.IntN(len(r.boxes[0]))
 		old := r.boxes[0][i]
 		r.down(old)
-		b := r.newBox(0, Kind{Cores: old.cores, Speed: old.speed, Slots: old.slots, Queue: old.room - old.slots}, old.site)
-		r.boxes[0] = r.boxes[0][:len(r.boxes[0])-1]
-		b.index = i
-		r.judge.Box(b.id, r.place(b)) // it stands where the old one stood
-		r.boxes[0][i] = b
-		b.started = r.start(r.now)
-		if old.node != nil {
-			b.node = old.node
-		}
-		r.tell(b, decide.Healthy)
+		r.succeed(old, i)
 		r.churn()
 	})
 }
--- a/internal/virtual/nodes.go
+++ b/internal/virtual/nodes.go
@@ -1,10 +1,15 @@
 package virtual
 
 import (
+	"time"
+
 	"curlewring/decide"
 	"curlewring/internal/standin/judge"
 )
 
+// connectWithin is how long a node waits for a connection.
+const connectWithin = 250 * time.Millisecond
+
 // carry does what a module wants done.
 func (r *run) carry(n *node, actions []decide.Action) {
 	n.buf = nil // handlers nest here: each has a buffer of its own
@@ -53,10 +58,15 @@
 		r.sendOld(t, a.Wait, way)
 		return
 	}
-	if b.down {
+	cut := r.cutOff(n, b)
+	if b.down && !cut {
 		r.after(2*way, func() { r.outcome(t, life, decide.Unconnected) })
 		return
 	}
+	if _, has := n.used[b]; cut && !has { // no connection can be made
+		r.after(min(a.Wait, connectWithin), func() { r.outcome(t, life, decide.Unconnected) })
+		return
+	}
 	r.after(a.Wait, func() { // the node stops waiting
 		if !t.over {
 			t.left = true
@@ -64,6 +74,9 @@
 			r.outcome(t, life, decide.TimedOut)
 		}
 	})
+	if cut { // it goes out on a connection that is there, and is never heard of again
+		return
+	}
 	n.used[b] = struct{}{}
 	r.after(way, func() { r.come(t, way, life) })
 }
@@ -87,7 +100,8 @@
 }
 
 func (r *run) end(t *task, how judge.How) {
-	if t.arrived >= 0 {
+	if t.arrived >= 0 && !t.ended {
+		t.ended = true
 		r.judge.Ended(r.now, t.call.key, t.arrived, how)
 	}
 }
--- a/internal/virtual/run.go
+++ b/internal/virtual/run.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -93,6 +94,7 @@
 	arrived int  // number at the judge; -1: not judged
 	life    int
 	begun   bool
+	ended   bool // the judge has its end
 	left    bool // its node has given it up
 	work    time.Duration
 	below   int // calls to the tier below that are still to be made
@@ -118,8 +120,12 @@
 	nextBox int
 	open    int
 	busiest []float64
-	old     []*box       // entries of an old list that are no more
-	sites   [][2]float64 // worth served within the aim, and asked for, where it came in
+	apart   func(a, b int) bool // sites that a cut parts; nil: none
+	mute    float64             // part of the answers that are lost
+	resets  float64             // part of the answers in whose place the connection is reset
+	free    [2]time.Duration    // when discovery has sent all that it has to tell, by tier
+	old     []*box              // entries of an old list that are no more
+	sites   [][2]float64        // worth served within the aim, and asked for, where it came in
 }
 
 // Run plays a configuration to its end.
@@ -278,9 +284,18 @@
 	if b.tier > 0 {
 		nodes = r.inner
 	}
+	if r.c.ListLines > 0 { // no node is always the first
+		nodes = slices.Clone(nodes)
+		r.rng.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+	}
 	for _, n := range nodes {
 		life := n.life
 		wait := time.Duration((0.5 + r.rng.Float64()/2) * float64(r.c.ListDelay))
+		if r.c.ListLines > 0 { // one line after another
+			free := max(r.free[b.tier], r.now) + time.Duration(float64(time.Second)/r.c.ListLines)
+			r.free[b.tier] = free
+			wait = max(wait, free-r.now)
+		}
 		r.after(wait, func() {
 			if n.dead || n.life != life {
 				return
