Group internal/ by subject, and give the name of membership to the nodes

Need: membership is to mean the nodes, as the field uses it, and twenty packages side by side did not show which belong together. internal/membership is servers/endpoints, internal/node/membership is node/discovery; servers, conns, sched, operators and rig hold what belongs to them, store, budget, companion and node stand beside. No change in what the program does.

--- a/cmd/benchlink/host.go
+++ b/cmd/benchlink/host.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"curlewring/decide"
-	"curlewring/internal/settings"
+	"curlewring/internal/operators/settings"
 )
 
 const rosters = 16 // list numbers run from 0 to 15
--- a/cmd/benchlink/wire.go
+++ b/cmd/benchlink/wire.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"curlewring/decide"
-	"curlewring/internal/settings"
+	"curlewring/internal/operators/settings"
 )
 
 // message is one line of input: an object with a single key, the event's name.
--- a/cmd/curlewctl/lab.go
+++ b/cmd/curlewctl/lab.go
@@ -7,10 +7,10 @@
 	"os"
 	"time"
 
-	"curlewring/internal/lab"
-	"curlewring/internal/membership"
-	"curlewring/internal/standin"
-	"curlewring/internal/standin/judge"
+	"curlewring/internal/rig/lab"
+	"curlewring/internal/rig/standin"
+	"curlewring/internal/rig/standin/judge"
+	"curlewring/internal/servers/endpoints"
 )
 
 type labCommand struct {
@@ -131,7 +131,7 @@
 			if err != nil {
 				return o, err
 			}
-			if o.Past.More, err = membership.Parse(text); err != nil {
+			if o.Past.More, err = endpoints.Parse(text); err != nil {
 				return o, fmt.Errorf("%s: %w", c.StartFrom, err)
 			}
 		}
--- a/cmd/curlewctl/lab_test.go
+++ b/cmd/curlewctl/lab_test.go
@@ -15,7 +15,7 @@
 
 	"github.com/alecthomas/kong"
 
-	"curlewring/internal/standin"
+	"curlewring/internal/rig/standin"
 )
 
 // The test's program stands in for a node that makes its answers up.
--- a/cmd/curlewctl/main.go
+++ b/cmd/curlewctl/main.go
@@ -13,7 +13,7 @@
 
 	"github.com/alecthomas/kong"
 
-	"curlewring/internal/standin"
+	"curlewring/internal/rig/standin"
 )
 
 // tool is the command line.
--- a/cmd/curlewctl/recall.go
+++ b/cmd/curlewctl/recall.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"curlewring/internal/node/disk"
-	"curlewring/internal/recall"
+	"curlewring/internal/servers/recall"
 	"curlewring/internal/store"
 )
 
--- a/cmd/curlewctl/recall_test.go
+++ b/cmd/curlewctl/recall_test.go
@@ -11,7 +11,7 @@
 
 	"curlewring/internal/node/disk"
 	"curlewring/internal/node/keeper"
-	"curlewring/internal/recall"
+	"curlewring/internal/servers/recall"
 )
 
 // remembered writes a folder as a node leaves it, an hour ago.
--- a/cmd/curlewctl/sarif.go
+++ b/cmd/curlewctl/sarif.go
@@ -5,7 +5,7 @@
 	"io"
 	"path/filepath"
 
-	"curlewring/internal/apps"
+	"curlewring/internal/operators/apps"
 )
 
 func printJSON(out io.Writer, findings apps.Findings) error {
--- a/cmd/curlewctl/sidecars.go
+++ b/cmd/curlewctl/sidecars.go
@@ -12,8 +12,8 @@
 
 	"github.com/pmezard/go-difflib/difflib"
 
-	"curlewring/internal/appdir"
-	"curlewring/internal/apps"
+	"curlewring/internal/operators/appdir"
+	"curlewring/internal/operators/apps"
 )
 
 // descriptions are the files that a command reads.
--- a/cmd/curlewctl/sidecars_test.go
+++ b/cmd/curlewctl/sidecars_test.go
@@ -12,13 +12,13 @@
 
 	"golang.org/x/tools/txtar"
 
-	"curlewring/internal/apps"
+	"curlewring/internal/operators/apps"
 )
 
 // unpack writes a set of the corpus to a folder and goes there.
 func unpack(t *testing.T, name string) {
 	t.Helper()
-	path, err := filepath.Abs("../../internal/appdir/testdata/" + name + ".txt")
+	path, err := filepath.Abs("../../internal/operators/appdir/testdata/" + name + ".txt")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -12,9 +12,9 @@
 	"reflect"
 
 	"curlewring/decide"
-	"curlewring/internal/membership"
-	"curlewring/internal/routes"
-	"curlewring/internal/settings"
+	"curlewring/internal/operators/routes"
+	"curlewring/internal/operators/settings"
+	"curlewring/internal/servers/endpoints"
 )
 
 const (
@@ -30,7 +30,7 @@
 	Seed      uint64
 	MemoryMB  int
 	Sockets   int
-	Known     *membership.List // the servers as the node last had them; nil: none
+	Known     *endpoints.List // the servers as the node last had them; nil: none
 	Classes   []string
 	Tenants   []string
 	Settings  decide.Settings
@@ -148,7 +148,7 @@
 		c.Tenants = append(c.Tenants, tenant.Name)
 	}
 	if len(raw.Known) > 0 && string(raw.Known) != "null" {
-		if c.Known, err = membership.Parse(raw.Known); err != nil {
+		if c.Known, err = endpoints.Parse(raw.Known); err != nil {
 			return nil, fmt.Errorf("known: %w", err)
 		}
 	}
--- a/internal/node/membership/discovery.go
+++ b/internal/node/discovery/discovery.go
@@ -1,4 +1,4 @@
-package membership
+package discovery
 
 import (
 	"context"
@@ -12,7 +12,7 @@
 	"sync/atomic"
 	"time"
 
-	"curlewring/internal/membership"
+	"curlewring/internal/servers/endpoints"
 )
 
 const (
@@ -39,15 +39,15 @@
 type Discovery struct {
 	service atomic.Pointer[service]
 	log     *slog.Logger
-	watch   chan bool              // on or off, the newest counts
-	renew   chan bool              // the watch begins anew; true: with the whole list
-	fetch   chan struct{}          // one call for the whole list
-	report  func(*membership.List) // called with each answer; nil: a call failed
-	long    time.Duration          // how long a watch may wait
-	patient time.Duration          // how long a call may take besides
+	watch   chan bool             // on or off, the newest counts
+	renew   chan bool             // the watch begins anew; true: with the whole list
+	fetch   chan struct{}         // one call for the whole list
+	report  func(*endpoints.List) // called with each answer; nil: a call failed
+	long    time.Duration         // how long a watch may wait
+	patient time.Duration         // how long a call may take besides
 
 	mu     sync.Mutex
-	asking *membership.Asking // how long calls for the whole list may take
+	asking *endpoints.Asking // how long calls for the whole list may take
 }
 
 // service is discovery at one address.
@@ -74,7 +74,7 @@
 	}
 }
 
-func NewDiscovery(address string, nodes int, log *slog.Logger, report func(*membership.List)) *Discovery {
+func New(address string, nodes int, log *slog.Logger, report func(*endpoints.List)) *Discovery {
 	d := &Discovery{
 		log:     log,
 		watch:   make(chan bool, 1),
@@ -83,7 +83,7 @@
 		report:  report,
 		long:    min(max(watchLeast, time.Duration(nodes)*watchANode), watchMost),
 		patient: callWait,
-		asking:  membership.NewAsking(nodes, callWait),
+		asking:  endpoints.NewAsking(nodes, callWait),
 	}
 	d.service.Store(newService(address))
 	return d
@@ -122,7 +122,7 @@
 }
 
 // whole asks for the whole list, for as long as is worth waiting for.
-func (d *Discovery) whole(ctx context.Context) (*membership.List, error) {
+func (d *Discovery) whole(ctx context.Context) (*endpoints.List, error) {
 	d.mu.Lock()
 	wait := d.asking.Patience()
 	d.mu.Unlock()
@@ -225,7 +225,7 @@
 			}
 		}
 	}()
-	var l *membership.List
+	var l *endpoints.List
 	var err error
 	if since == nil {
 		l, err = d.whole(ctx)
@@ -255,7 +255,7 @@
 }
 
 // call asks discovery, wherever it moves meanwhile.
-func (d *Discovery) call(ctx context.Context, query string, wait time.Duration) (*membership.List, error) {
+func (d *Discovery) call(ctx context.Context, query string, wait time.Duration) (*endpoints.List, error) {
 	for {
 		at := d.service.Load()
 		l, err := at.call(ctx, query, wait)
@@ -265,7 +265,7 @@
 	}
 }
 
-func (s *service) call(ctx context.Context, query string, wait time.Duration) (*membership.List, error) {
+func (s *service) call(ctx context.Context, query string, wait time.Duration) (*endpoints.List, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	defer context.AfterFunc(s.left, cancel)()
@@ -285,7 +285,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("discovery answered %s", resp.Status)
 	}
-	l, err := membership.Parse(text)
+	l, err := endpoints.Parse(text)
 	if err == nil && query == "" && !l.Whole {
 		err = fmt.Errorf("malformed list: asked for the whole, got changes")
 	}
--- a/internal/node/membership/discovery_test.go
+++ b/internal/node/discovery/discovery_test.go
@@ -1,4 +1,4 @@
-package membership
+package discovery
 
 import (
 	"context"
@@ -8,16 +8,16 @@
 	"testing"
 	"time"
 
-	"curlewring/internal/membership"
 	. "curlewring/internal/node/nodetest"
+	"curlewring/internal/servers/endpoints"
 )
 
 // A watch that stays silent past its time is lost, and must be reported so: the
 // node would else hear of nothing any more.
 func TestSilentWatchFails(t *testing.T) {
 	d := NewDiscoveryServer(t)
-	reports := make(chan *membership.List, 10)
-	watch := NewDiscovery(d.Listener.Addr().String(), 1, Quiet(), func(l *membership.List) { reports <- l })
+	reports := make(chan *endpoints.List, 10)
+	watch := New(d.Listener.Addr().String(), 1, Quiet(), func(l *endpoints.List) { reports <- l })
 	watch.long, watch.patient = 50*time.Millisecond, 50*time.Millisecond
 	since := uint64(3)
 	on, wanted, from := watch.watchOnce(t.Context(), &since)
@@ -34,7 +34,7 @@
 // often than discovery can bear.
 func TestWatchWaitsByFleet(t *testing.T) {
 	for nodes, want := range map[int]time.Duration{0: 6 * time.Second, 2: 6 * time.Second, 20: 30 * time.Second, 500: time.Minute} {
-		if got := NewDiscovery("127.0.0.1:1", nodes, Quiet(), nil).long; got != want {
+		if got := New("127.0.0.1:1", nodes, Quiet(), nil).long; got != want {
 			t.Errorf("%d nodes wait %v, want %v", nodes, got, want)
 		}
 	}
@@ -46,8 +46,8 @@
 // address must get no further call.
 func TestWatchMovesWithDiscovery(t *testing.T) {
 	old, next := NewDiscoveryServer(t), NewDiscoveryServer(t)
-	reports := make(chan *membership.List, 10)
-	d := NewDiscovery(old.Listener.Addr().String(), 1, Quiet(), func(l *membership.List) { reports <- l })
+	reports := make(chan *endpoints.List, 10)
+	d := New(old.Listener.Addr().String(), 1, Quiet(), func(l *endpoints.List) { reports <- l })
 	since := uint64(3)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
@@ -95,7 +95,7 @@
 				io.WriteString(c, parts[0])
 				Endless(parts[1], sent)(c)
 			})
-			d := NewDiscovery(address, 1, Quiet(), nil)
+			d := New(address, 1, Quiet(), nil)
 			if l, err := d.call(t.Context(), "", Patience); err == nil {
 				t.Errorf("took %v for a list", l)
 			}
--- a/internal/node/front/hard_test.go
+++ b/internal/node/front/hard_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"curlewring/internal/hold"
+	"curlewring/internal/conns/hold"
 )
 
 // client adds one with this stream, all of which is sent.
--- a/internal/node/front/machine_test.go
+++ b/internal/node/front/machine_test.go
@@ -13,8 +13,8 @@
 	"testing"
 	"time"
 
-	"curlewring/internal/hold"
-	"curlewring/internal/pressure"
+	"curlewring/internal/conns/hold"
+	"curlewring/internal/conns/pressure"
 )
 
 // game plays a front in one goroutine and virtual time, with a script in the place
--- a/internal/node/front/read.go
+++ b/internal/node/front/read.go
@@ -7,7 +7,7 @@
 	"net/http"
 	"strings"
 
-	"curlewring/internal/pressure"
+	"curlewring/internal/conns/pressure"
 )
 
 const (
--- a/internal/node/front/scale_test.go
+++ b/internal/node/front/scale_test.go
@@ -13,9 +13,9 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"curlewring/internal/background"
-	"curlewring/internal/hold"
+	"curlewring/internal/conns/hold"
 	"curlewring/internal/node/worker"
+	"curlewring/internal/sched/background"
 )
 
 // echo answers each request from another goroutine, as a node does.
--- a/internal/node/front/server.go
+++ b/internal/node/front/server.go
@@ -11,9 +11,9 @@
 	"sync/atomic"
 	"time"
 
-	"curlewring/internal/hold"
-	"curlewring/internal/pressure"
-	"curlewring/internal/wheel"
+	"curlewring/internal/conns/hold"
+	"curlewring/internal/conns/pressure"
+	"curlewring/internal/sched/wheel"
 )
 
 // Times and bounds that are the same for every node.
--- a/internal/node/front/transport_test.go
+++ b/internal/node/front/transport_test.go
@@ -18,7 +18,7 @@
 
 	"curlewring/internal/node/nodetest"
 
-	"curlewring/internal/hold"
+	"curlewring/internal/conns/hold"
 )
 
 // real is a front on sockets, and the node behind it.
--- a/internal/node/front/write.go
+++ b/internal/node/front/write.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"time"
 
-	"curlewring/internal/pressure"
+	"curlewring/internal/conns/pressure"
 )
 
 // Answer is what a client gets for a request.
--- a/internal/node/keeper/keeper.go
+++ b/internal/node/keeper/keeper.go
@@ -10,7 +10,7 @@
 
 	"curlewring/internal/node/clock"
 	"curlewring/internal/node/disk"
-	"curlewring/internal/recall"
+	"curlewring/internal/servers/recall"
 	"curlewring/internal/store"
 )
 
--- a/internal/node/keeper/write.go
+++ b/internal/node/keeper/write.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"curlewring/internal/node/disk"
-	"curlewring/internal/recall"
+	"curlewring/internal/servers/recall"
 	"curlewring/internal/store"
 )
 
--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"curlewring/decide"
-	"curlewring/internal/membership"
 	"curlewring/internal/node/upstream"
+	"curlewring/internal/servers/endpoints"
 )
 
 // Lists of more entries than this are taken in by steps: the module's part of an
@@ -16,12 +16,12 @@
 )
 
 // begin takes the list that the node starts with: the configuration's, or what is left of its last life.
-func (l *loop) begin(known *membership.List) {
+func (l *loop) begin(known *endpoints.List) {
 	if l.past != nil {
 		l.recall()
 		return
 	}
-	stored := &membership.List{}
+	stored := &endpoints.List{}
 	if known != nil {
 		stored = known
 	}
@@ -30,7 +30,7 @@
 }
 
 // listed takes a list that discovery has told.
-func (l *loop) listed(m *membership.List) {
+func (l *loop) listed(m *endpoints.List) {
 	l.told = m.Generation
 	u := l.view.Apply(l.now, m)
 	l.strange(u.Odd)
@@ -69,7 +69,7 @@
 // mostStrange is how many odd things of one list are logged.
 const mostStrange = 4
 
-func (l *loop) strange(odd []membership.Odd) {
+func (l *loop) strange(odd []endpoints.Odd) {
 	for i, o := range odd {
 		if i == mostStrange {
 			l.log.Warn("the list is odd in more places", "more", len(odd)-i)
@@ -119,9 +119,9 @@
 
 // changed carries out changes of the list. What is drained or gone gets nothing new from this moment; the rest of
 // many is background work with a deadline.
-func (l *loop) changed(entries []membership.Entry, change decide.Change) {
+func (l *loop) changed(entries []endpoints.Entry, change decide.Change) {
 	if len(entries) <= l.longList && len(l.coming) == 0 {
-		l.members(&membership.List{Entries: entries}, change)
+		l.members(&endpoints.List{Entries: entries}, change)
 		return
 	}
 	for i := range entries {
@@ -145,7 +145,7 @@
 	for l.listAt < len(l.coming) {
 		part := l.coming[l.listAt:min(len(l.coming), l.listAt+listStep)]
 		l.listAt += len(part)
-		l.members(&membership.List{Entries: part}, decide.ListKept)
+		l.members(&endpoints.List{Entries: part}, decide.ListKept)
 		if l.clock.Now() >= begun+slice {
 			break
 		}
@@ -157,7 +157,7 @@
 }
 
 // members takes a list of servers and tells the module.
-func (l *loop) members(m *membership.List, change decide.Change) {
+func (l *loop) members(m *endpoints.List, change decide.Change) {
 	if change == decide.ListStored {
 		named := make(map[string]bool, len(m.Entries))
 		for i := range m.Entries {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -10,12 +10,12 @@
 	"time"
 
 	"curlewring/decide"
-	"curlewring/internal/membership"
 	"curlewring/internal/node/clock"
+	"curlewring/internal/node/discovery"
 	"curlewring/internal/node/front"
-	asks "curlewring/internal/node/membership"
 	"curlewring/internal/node/upstream"
-	"curlewring/internal/routes"
+	"curlewring/internal/operators/routes"
+	"curlewring/internal/servers/endpoints"
 )
 
 const (
@@ -78,8 +78,8 @@
 		upstream.Outcome
 		elapsed time.Duration
 	}
-	listed  struct{ *membership.List } // nil: a call failed
-	closing struct{}                   // the node ends: fail what is left
+	listed  struct{ *endpoints.List } // nil: a call failed
+	closing struct{}                  // the node ends: fail what is left
 
 	// stepped is a piece of background work on what the loop owns.
 	stepped struct {
@@ -116,7 +116,7 @@
 	set       *decide.Settings
 	balancer  *decide.Balancer
 	upstream  *upstream.Pool
-	discovery *asks.Discovery
+	discovery *discovery.Discovery
 	log       *slog.Logger
 	budgets   *budgets                     // nil: off
 	first     *routes.Table                // those of the start
@@ -126,10 +126,10 @@
 	tidy      func()                       // called every sweepEvery: what is old may go
 	lag       func(now, lag time.Duration) // told how long requests wait for the loop
 
-	view   *membership.View   // what to believe of discovery
-	signs  *membership.Signs  // when to ask it early
-	asking *membership.Asking // when to ask it first
-	past   *past              // what is left of the last life; nil: nothing
+	view   *endpoints.View   // what to believe of discovery
+	signs  *endpoints.Signs  // when to ask it early
+	asking *endpoints.Asking // when to ask it first
+	past   *past             // what is left of the last life; nil: nothing
 
 	ctx    context.Context // its end ends the loop and all attempts
 	events chan any
@@ -144,13 +144,13 @@
 	pending  map[uint64]*pending
 	peers    map[string]*peer
 	started  map[string]time.Duration
-	sendable int                // peers that may get something new
-	coming   []membership.Entry // of long lists, still to be taken in
-	listAt   int                // the next of them
-	told     uint64             // generation of the last list that came
-	asked    bool               // the watch was wanted before
-	laterAt  time.Duration      // when the view is looked at again; 0: never
-	retryAt  time.Duration      // when servers of the past that failed are; 0: never
+	sendable int               // peers that may get something new
+	coming   []endpoints.Entry // of long lists, still to be taken in
+	listAt   int               // the next of them
+	told     uint64            // generation of the last list that came
+	asked    bool              // the watch was wanted before
+	laterAt  time.Duration     // when the view is looked at again; 0: never
+	retryAt  time.Duration     // when servers of the past that failed are; 0: never
 	timers   timers
 	actions  []decide.Action
 	draw     *rand.Rand
@@ -167,9 +167,9 @@
 		peers:    map[string]*peer{},
 		started:  map[string]time.Duration{},
 		longList: longList,
-		view:     membership.New(membership.Settings{}),
-		signs:    membership.NewSigns(c.Settings.Nodes, c.Seed),
-		asking:   membership.NewAsking(c.Settings.Nodes, 0),
+		view:     endpoints.New(endpoints.Settings{}),
+		signs:    endpoints.NewSigns(c.Settings.Nodes, c.Seed),
+		asking:   endpoints.NewAsking(c.Settings.Nodes, 0),
 		draw:     rand.New(rand.NewPCG(c.Seed, 0x6e6f6465)),
 	}
 }
@@ -183,7 +183,7 @@
 }
 
 // run handles events until the context ends, and then waits for the attempts it started.
-func (l *loop) run(known *membership.List) {
+func (l *loop) run(known *endpoints.List) {
 	defer l.tries.Wait()
 	l.now = l.clock.Now()
 	l.route(l.first)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,15 +12,15 @@
 	"sync"
 	"time"
 
-	"curlewring/internal/background"
-	"curlewring/internal/hold"
-	"curlewring/internal/membership"
+	"curlewring/internal/conns/hold"
 	"curlewring/internal/node/clock"
+	"curlewring/internal/node/discovery"
 	"curlewring/internal/node/front"
 	"curlewring/internal/node/keeper"
-	asks "curlewring/internal/node/membership"
 	"curlewring/internal/node/upstream"
 	"curlewring/internal/node/worker"
+	"curlewring/internal/sched/background"
+	"curlewring/internal/servers/endpoints"
 )
 
 const (
@@ -79,7 +79,7 @@
 	n.stop = stop
 	n.loop = newLoop(inner, c, n.clock, n.upstream, log)
 	n.loop.lag = n.worker.Lag
-	n.loop.discovery = asks.NewDiscovery(c.Discovery, c.Settings.Nodes, log, func(l *membership.List) { n.loop.post(listed{l}) })
+	n.loop.discovery = discovery.New(c.Discovery, c.Settings.Nodes, log, func(l *endpoints.List) { n.loop.post(listed{l}) })
 	n.loop.budgets = newBudgets(c, log)
 	n.callers = newCallers(c, n.clock, n.loop)
 	n.callers.budgets = n.loop.budgets
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -7,7 +7,7 @@
 	"os"
 	"strings"
 
-	"curlewring/internal/routes"
+	"curlewring/internal/operators/routes"
 )
 
 // Files are the files that a node goes by.
--- a/internal/node/operator_test.go
+++ b/internal/node/operator_test.go
@@ -14,7 +14,7 @@
 	"testing"
 
 	. "curlewring/internal/node/nodetest"
-	"curlewring/internal/routes"
+	"curlewring/internal/operators/routes"
 )
 
 // setup is a node's files in a folder of the test's.
--- a/internal/node/own.go
+++ b/internal/node/own.go
@@ -7,7 +7,7 @@
 	"path/filepath"
 	"strings"
 
-	"curlewring/internal/document"
+	"curlewring/internal/operators/document"
 	"curlewring/internal/store"
 )
 
--- a/internal/node/past.go
+++ b/internal/node/past.go
@@ -5,10 +5,10 @@
 	"time"
 
 	"curlewring/decide"
-	"curlewring/internal/doubt"
-	"curlewring/internal/membership"
 	"curlewring/internal/node/keeper"
-	"curlewring/internal/recall"
+	"curlewring/internal/servers/doubt"
+	"curlewring/internal/servers/endpoints"
+	"curlewring/internal/servers/recall"
 )
 
 // past is what a node has of its last life, and what it keeps for the next. It belongs to the loop, but for the
@@ -17,7 +17,7 @@
 	keeper  *keeper.Keeper
 	known   keeper.Known
 	table   *doubt.Table // nil: discovery has spoken, or the list is young and trusted as it is
-	entries map[string]membership.Entry
+	entries map[string]endpoints.Entry
 	answers float64 // a second, averaged
 	served  float64 // since the last sweep
 	took    float64 // s; mean time of an answer
@@ -53,7 +53,7 @@
 }
 
 // since is the generation that the first watch may ask from; nil: it must ask for the whole list.
-func (p *past) since(known *membership.List) *uint64 {
+func (p *past) since(known *endpoints.List) *uint64 {
 	var since *uint64
 	if known != nil {
 		since = &known.Generation
@@ -71,9 +71,9 @@
 }
 
 // entry is a server in the list's form.
-func entry(s *recall.Server) membership.Entry {
+func entry(s *recall.Server) endpoints.Entry {
 	health := [...]decide.Health{recall.Serving: decide.Healthy, recall.Draining: decide.Draining, recall.Gone: decide.Removed}
-	return membership.Entry{
+	return endpoints.Entry{
 		Server: decide.Server{
 			ID: s.ID, Zone: s.Zone, Cell: s.Cell, Weight: s.Weight, Started: s.Started, Health: health[s.State],
 		},
@@ -82,7 +82,7 @@
 }
 
 // row is an entry as the memory keeps it.
-func row(e *membership.Entry, wall time.Time) recall.Server {
+func row(e *endpoints.Entry, wall time.Time) recall.Server {
 	state := [...]recall.State{decide.Healthy: recall.Serving, decide.Draining: recall.Draining, decide.Removed: recall.Gone}
 	return recall.Server{
 		ID: e.ID, Address: e.Address, Zone: e.Zone, Cell: e.Cell, Weight: e.Weight, Started: e.Started,
@@ -92,7 +92,7 @@
 
 // newPast merges what the keeper found with the configuration's list.
 func newPast(k *keeper.Keeper, known keeper.Known, c *Config, wall time.Time) *past {
-	p := &past{keeper: k, known: known, entries: map[string]membership.Entry{}, address: c.Discovery}
+	p := &past{keeper: k, known: known, entries: map[string]endpoints.Entry{}, address: c.Discovery}
 	if c.Known != nil {
 		brought := make([]recall.Server, len(c.Known.Entries))
 		for i := range c.Known.Entries {
@@ -106,7 +106,7 @@
 // recall begins with what is left of the last life.
 func (l *loop) recall() {
 	p := l.past
-	all := &membership.List{Generation: p.known.List.Generation, Whole: true}
+	all := &endpoints.List{Generation: p.known.List.Generation, Whole: true}
 	var serving []doubt.Server
 	for i := range p.known.Servers {
 		e := entry(&p.known.Servers[i])
@@ -126,14 +126,14 @@
 		l.log.Info("the node remembers", "servers", len(serving), "age", age.Round(time.Second).String(), "age known", known,
 			"generation", p.known.List.Generation, "complete", p.known.List.Sound, "trusted", p.table.Young())
 	}
-	l.members(&membership.List{Entries: l.offered(p.table.Begin(l.now))}, decide.ListStored)
+	l.members(&endpoints.List{Entries: l.offered(p.table.Begin(l.now))}, decide.ListStored)
 	l.retry()
 }
 
 // offered are offers in the list's form.
-func (l *loop) offered(offers []doubt.Offer) []membership.Entry {
+func (l *loop) offered(offers []doubt.Offer) []endpoints.Entry {
 	p := l.past
-	entries := make([]membership.Entry, 0, len(offers))
+	entries := make([]endpoints.Entry, 0, len(offers))
 	for _, o := range offers {
 		e := p.entries[o.ID]
 		switch {
@@ -169,7 +169,7 @@
 		return
 	}
 	if offers := p.table.Outcome(l.now, server, r); len(offers) > 0 {
-		l.members(&membership.List{Entries: l.offered(offers)}, decide.ListKept)
+		l.members(&endpoints.List{Entries: l.offered(offers)}, decide.ListKept)
 	}
 	l.retry()
 }
@@ -187,14 +187,14 @@
 			return
 		}
 		if offers := l.past.table.Due(l.now); len(offers) > 0 {
-			l.members(&membership.List{Entries: l.offered(offers)}, decide.ListKept)
+			l.members(&endpoints.List{Entries: l.offered(offers)}, decide.ListKept)
 		}
 		l.retry()
 	}})
 }
 
 // confirmed ends the doubt: discovery has spoken. All that it has not taken back is as it says.
-func (l *loop) confirmed() []membership.Entry {
+func (l *loop) confirmed() []endpoints.Entry {
 	trying, proven, rest := l.past.table.Counts()
 	l.log.Info("discovery has spoken", "tried", trying, "proven", proven, "not tried", rest, "serving", l.view.Serving())
 	l.past.table, l.past.entries = nil, nil
@@ -202,7 +202,7 @@
 }
 
 // remember tells the keeper of a list, and of what changed with it.
-func (l *loop) remember(m *membership.List, changes []membership.Entry) {
+func (l *loop) remember(m *endpoints.List, changes []endpoints.Entry) {
 	p := l.past
 	if p == nil || p.keeper == nil {
 		return
--- a/internal/node/past_test.go
+++ b/internal/node/past_test.go
@@ -18,7 +18,7 @@
 	"curlewring/internal/node/disk"
 	"curlewring/internal/node/keeper"
 	. "curlewring/internal/node/nodetest"
-	"curlewring/internal/recall"
+	"curlewring/internal/servers/recall"
 	"curlewring/internal/store"
 )
 
--- a/internal/node/upstream/pool.go
+++ b/internal/node/upstream/pool.go
@@ -14,7 +14,7 @@
 
 	"curlewring/decide"
 	"curlewring/internal/node/clock"
-	"curlewring/internal/wheel"
+	"curlewring/internal/sched/wheel"
 )
 
 const (
--- a/internal/node/worker/worker.go
+++ b/internal/node/worker/worker.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"curlewring/internal/background"
+	"curlewring/internal/sched/background"
 )
 
 // Step does a piece of work for no longer than slice, but for its last bit, and tells
--- a/internal/node/worker/worker_test.go
+++ b/internal/node/worker/worker_test.go
@@ -11,8 +11,8 @@
 
 	"go.uber.org/goleak"
 
-	"curlewring/internal/background"
 	"curlewring/internal/node/nodetest"
+	"curlewring/internal/sched/background"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/internal/appdir/check.go
+++ b/internal/operators/appdir/check.go
@@ -9,8 +9,8 @@
 	"slices"
 	"strings"
 
-	"curlewring/internal/apps"
 	"curlewring/internal/node"
+	"curlewring/internal/operators/apps"
 )
 
 // CheckWritten finds what is wrong with the set that holds in a folder: what was
--- a/internal/appdir/corpus_test.go
+++ b/internal/operators/appdir/corpus_test.go
@@ -12,7 +12,7 @@
 
 	"golang.org/x/tools/txtar"
 
-	"curlewring/internal/apps"
+	"curlewring/internal/operators/apps"
 )
 
 // unpack writes an archive's files to a folder, and goes there: findings name
@@ -147,18 +147,18 @@
 
 // Every code is documented once, under the level and rule that findings have.
 func TestFindingsPage(t *testing.T) {
-	text, err := os.ReadFile("../../docs/operators/findings.md")
+	text, err := os.ReadFile("../../../docs/operators/findings.md")
 	if err != nil && os.Getenv("CURLEWRING_WRITE") == "" {
 		t.Fatal(err)
 	}
 	if want := apps.Page(); string(text) != want {
 		if os.Getenv("CURLEWRING_WRITE") != "" {
-			if err := os.WriteFile("../../docs/operators/findings.md", []byte(want), 0o644); err != nil {
+			if err := os.WriteFile("../../../docs/operators/findings.md", []byte(want), 0o644); err != nil {
 				t.Fatal(err)
 			}
 			return
 		}
-		t.Error("docs/operators/findings.md is not current: CURLEWRING_WRITE=1 go test ./internal/appdir -run FindingsPage")
+		t.Error("docs/operators/findings.md is not current: CURLEWRING_WRITE=1 go test ./internal/operators/appdir -run FindingsPage")
 	}
 }
 
@@ -173,7 +173,7 @@
 		if err := json.Unmarshal(want, &object); err != nil || object["properties"] == nil {
 			t.Fatal(err, object)
 		}
-		path := "../../docs/schema/" + name + ".json"
+		path := "../../../docs/schema/" + name + ".json"
 		text, err := os.ReadFile(path)
 		if os.Getenv("CURLEWRING_WRITE") != "" {
 			os.MkdirAll(filepath.Dir(path), 0o755)
@@ -181,7 +181,7 @@
 				t.Fatal(err)
 			}
 		} else if err != nil || string(text) != string(want) {
-			t.Errorf("%s is not current: CURLEWRING_WRITE=1 go test ./internal/appdir -run Schemas (%v)", path, err)
+			t.Errorf("%s is not current: CURLEWRING_WRITE=1 go test ./internal/operators/appdir -run Schemas (%v)", path, err)
 		}
 	}
 }
--- a/internal/appdir/dir_test.go
+++ b/internal/operators/appdir/dir_test.go
@@ -13,8 +13,8 @@
 	"testing"
 	"time"
 
-	"curlewring/internal/apps"
-	"curlewring/internal/document"
+	"curlewring/internal/operators/apps"
+	"curlewring/internal/operators/document"
 )
 
 const (
--- a/internal/appdir/load.go
+++ b/internal/operators/appdir/load.go
@@ -11,8 +11,8 @@
 	"slices"
 	"strings"
 
-	"curlewring/internal/apps"
-	"curlewring/internal/document"
+	"curlewring/internal/operators/apps"
+	"curlewring/internal/operators/document"
 )
 
 // PlatformName is the shared file's name where none is given.
--- a/internal/appdir/write.go
+++ b/internal/operators/appdir/write.go
@@ -13,7 +13,7 @@
 	"strings"
 	"syscall"
 
-	"curlewring/internal/apps"
+	"curlewring/internal/operators/apps"
 )
 
 const (
--- a/internal/apps/app.go
+++ b/internal/operators/apps/app.go
@@ -9,8 +9,8 @@
 	"strings"
 	"time"
 
-	"curlewring/internal/document"
-	"curlewring/internal/routes"
+	"curlewring/internal/operators/document"
+	"curlewring/internal/operators/routes"
 )
 
 // App is the description of an application's sidecar.
--- a/internal/apps/apps_test.go
+++ b/internal/operators/apps/apps_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"curlewring/internal/settings"
+	"curlewring/internal/operators/settings"
 )
 
 const platformText = `schema = 1
--- a/internal/apps/finding.go
+++ b/internal/operators/apps/finding.go
@@ -6,7 +6,7 @@
 	"slices"
 	"strings"
 
-	"curlewring/internal/routes"
+	"curlewring/internal/operators/routes"
 )
 
 // Code names a kind of finding. It never changes its meaning.
--- a/internal/apps/keys.go
+++ b/internal/operators/apps/keys.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"curlewring/internal/document"
+	"curlewring/internal/operators/document"
 )
 
 // kind is what a value of a key is.
--- a/internal/apps/platform.go
+++ b/internal/operators/apps/platform.go
@@ -9,8 +9,8 @@
 
 	"golang.org/x/text/unicode/norm"
 
-	"curlewring/internal/document"
-	"curlewring/internal/settings"
+	"curlewring/internal/operators/document"
+	"curlewring/internal/operators/settings"
 )
 
 // Schema is the version of descriptions, and of what is written of them. Version
--- a/internal/apps/set.go
+++ b/internal/operators/apps/set.go
@@ -8,7 +8,7 @@
 	"strings"
 	"time"
 
-	"curlewring/internal/routes"
+	"curlewring/internal/operators/routes"
 )
 
 // Set is a platform with its applications. Zero findings of level error mean
--- a/internal/apps/write.go
+++ b/internal/operators/apps/write.go
@@ -13,8 +13,8 @@
 	"time"
 
 	"curlewring/decide"
-	"curlewring/internal/routes"
-	"curlewring/internal/settings"
+	"curlewring/internal/operators/routes"
+	"curlewring/internal/operators/settings"
 )
 
 // nodeSettings are the settings that a sidecar's node goes by.
--- a/internal/routes/idle.go
+++ b/internal/operators/routes/idle.go
@@ -8,7 +8,7 @@
 
 	"github.com/pelletier/go-toml/v2/unstable"
 
-	"curlewring/internal/hold"
+	"curlewring/internal/conns/hold"
 )
 
 // Idle is one [[idle]] as it stands in the file: how long connections may wait for
--- a/internal/routes/routes_test.go
+++ b/internal/operators/routes/routes_test.go
@@ -138,7 +138,7 @@
 			provoked[f.Code] = true
 		}
 	}
-	page, err := os.ReadFile("../../docs/operators/routes.md")
+	page, err := os.ReadFile("../../../docs/operators/routes.md")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -261,7 +261,7 @@
 
 // The example that operators start from must be right for the service it is for.
 func TestExampleIsValid(t *testing.T) {
-	text, err := os.ReadFile("../../deploy/operator.toml")
+	text, err := os.ReadFile("../../../deploy/operator.toml")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/routes/table.go
+++ b/internal/operators/routes/table.go
@@ -6,7 +6,7 @@
 	"strings"
 
 	"curlewring/decide"
-	"curlewring/internal/hold"
+	"curlewring/internal/conns/hold"
 )
 
 // Table is what a checked file says: the module's bounds, and which requests
--- a/internal/lab/accepted_test.go
+++ b/internal/rig/lab/accepted_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"curlewring/internal/standin"
+	"curlewring/internal/rig/standin"
 )
 
 // drawRoutes draws timing rules around the bounds, so that many are refused.
--- a/internal/lab/agree_test.go
+++ b/internal/rig/lab/agree_test.go
@@ -7,9 +7,9 @@
 	"time"
 
 	"curlewring/decide"
-	"curlewring/internal/standin"
-	"curlewring/internal/standin/judge"
-	"curlewring/internal/virtual"
+	"curlewring/internal/rig/standin"
+	"curlewring/internal/rig/standin/judge"
+	"curlewring/internal/rig/virtual"
 )
 
 // twin is the lab's plan in virtual time.
--- a/internal/lab/budgets_test.go
+++ b/internal/rig/lab/budgets_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"curlewring/internal/standin"
+	"curlewring/internal/rig/standin"
 )
 
 // Two tiers whose lower one fails: with budgets no call of a graph may be tried
--- a/internal/lab/idle.go
+++ b/internal/rig/lab/idle.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"curlewring/internal/standin"
+	"curlewring/internal/rig/standin"
 )
 
 // Idle connections: up to mostOwn the lab's process holds, and asks on, itself. More
--- a/internal/lab/lab.go
+++ b/internal/rig/lab/lab.go
@@ -13,8 +13,8 @@
 	"syscall"
 	"time"
 
-	"curlewring/internal/standin"
-	"curlewring/internal/standin/judge"
+	"curlewring/internal/rig/standin"
+	"curlewring/internal/rig/standin/judge"
 )
 
 // Options say what to run.
--- a/internal/lab/lab_test.go
+++ b/internal/rig/lab/lab_test.go
@@ -13,7 +13,7 @@
 
 	"go.uber.org/goleak"
 
-	"curlewring/internal/standin"
+	"curlewring/internal/rig/standin"
 )
 
 // binary is the node's program, built once.
--- a/internal/lab/lies_test.go
+++ b/internal/rig/lab/lies_test.go
@@ -4,12 +4,12 @@
 	"testing"
 	"time"
 
-	"curlewring/internal/standin"
+	"curlewring/internal/rig/standin"
 )
 
 // A Boxliste that says for a second that there is nothing, and one that comes back from a backup: what it says is
 // gone gets nothing new, what it brings back waits, and service returns. The judge hears what nodes were told. That doubts of
-// good news hold is package membership's own test: a node that believed all at once would pass here too.
+// good news hold is package endpoints's own test: a node that believed all at once would pass here too.
 func TestListsThatLie(t *testing.T) {
 	o := options()
 	o.Traffic = standin.Traffic{Rate: 150, For: 8 * time.Second, Retries: 1, Backoff: 100 * time.Millisecond, Body: 50}
--- a/internal/lab/past.go
+++ b/internal/rig/lab/past.go
@@ -10,10 +10,10 @@
 	"time"
 
 	"curlewring/decide"
-	"curlewring/internal/membership"
 	"curlewring/internal/node/keeper"
-	"curlewring/internal/recall"
-	"curlewring/internal/standin"
+	"curlewring/internal/rig/standin"
+	"curlewring/internal/servers/endpoints"
+	"curlewring/internal/servers/recall"
 )
 
 // Arm is what a node makes of an old list.
@@ -29,11 +29,11 @@
 // Past is what nodes remember at their start, while the Boxliste is out.
 type Past struct {
 	Arm   Arm
-	Age   time.Duration    // of the list
-	Stale int              // entries beside the boxes: half refuse, a quarter hang, at the others something else answers
-	More  *membership.List // further entries; nil: none
-	Out   time.Duration    // how long the Boxliste stays out
-	Cold  bool             // the boxes have just started
+	Age   time.Duration   // of the list
+	Stale int             // entries beside the boxes: half refuse, a quarter hang, at the others something else answers
+	More  *endpoints.List // further entries; nil: none
+	Out   time.Duration   // how long the Boxliste stays out
+	Cold  bool            // the boxes have just started
 }
 
 // strangers stand where boxes are no more.
--- a/internal/lab/report.go
+++ b/internal/rig/lab/report.go
@@ -6,8 +6,8 @@
 	"text/tabwriter"
 	"time"
 
-	"curlewring/internal/standin"
-	"curlewring/internal/standin/judge"
+	"curlewring/internal/rig/standin"
+	"curlewring/internal/rig/standin/judge"
 )
 
 // Report is what came of a run.
--- a/internal/lab/room_test.go
+++ b/internal/rig/lab/room_test.go
@@ -4,7 +4,7 @@
 	"testing"
 	"time"
 
-	"curlewring/internal/standin"
+	"curlewring/internal/rig/standin"
 )
 
 // atOnce plays so many callers, one request after another, against eight boxes of
--- a/internal/lab/sidecars.go
+++ b/internal/rig/lab/sidecars.go
@@ -11,8 +11,8 @@
 	"syscall"
 	"time"
 
-	"curlewring/internal/appdir"
-	"curlewring/internal/standin/judge"
+	"curlewring/internal/operators/appdir"
+	"curlewring/internal/rig/standin/judge"
 )
 
 // usualRoute is in the descriptions of sidecars where no other routes are given,
--- a/internal/lab/sidecars_test.go
+++ b/internal/rig/lab/sidecars_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"curlewring/internal/standin"
+	"curlewring/internal/rig/standin"
 )
 
 // sidecarOptions are those of a lab of sidecars.
--- a/internal/standin/box.go
+++ b/internal/rig/standin/box.go
@@ -16,7 +16,7 @@
 	"time"
 
 	"curlewring/internal/budget"
-	"curlewring/internal/standin/judge"
+	"curlewring/internal/rig/standin/judge"
 )
 
 // trouble is what a box does wrong at the moment.
--- a/internal/standin/callers.go
+++ b/internal/rig/standin/callers.go
@@ -10,7 +10,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"curlewring/internal/standin/judge"
+	"curlewring/internal/rig/standin/judge"
 )
 
 // Traffic is what callers ask for.
--- a/internal/standin/client.go
+++ b/internal/rig/standin/client.go
@@ -14,7 +14,7 @@
 	"time"
 
 	"curlewring/internal/budget"
-	"curlewring/internal/standin/judge"
+	"curlewring/internal/rig/standin/judge"
 )
 
 // Ask is one request to a node.
--- a/internal/standin/fleet.go
+++ b/internal/rig/standin/fleet.go
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"curlewring/internal/standin/judge"
+	"curlewring/internal/rig/standin/judge"
 )
 
 // Fleet is boxes and a Boxliste for each tier, with a judge.
--- a/internal/standin/idlers.go
+++ b/internal/rig/standin/idlers.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"curlewring/internal/standin/judge"
+	"curlewring/internal/rig/standin/judge"
 )
 
 // Idlers are controllers that each keep one connection to a node, and ask for
--- a/internal/standin/liste.go
+++ b/internal/rig/standin/liste.go
@@ -12,7 +12,7 @@
 	"sync"
 	"time"
 
-	"curlewring/internal/standin/judge"
+	"curlewring/internal/rig/standin/judge"
 )
 
 // entry is a box as the Boxliste knows it, in the protocol's form.
--- a/internal/standin/plan.go
+++ b/internal/rig/standin/plan.go
@@ -5,7 +5,7 @@
 	"math/rand/v2"
 	"time"
 
-	"curlewring/internal/standin/judge"
+	"curlewring/internal/rig/standin/judge"
 )
 
 // Class is a class of requests as callers and boxes know it.
--- a/internal/standin/standin_test.go
+++ b/internal/rig/standin/standin_test.go
@@ -17,7 +17,7 @@
 
 	"go.uber.org/goleak"
 
-	"curlewring/internal/standin/judge"
+	"curlewring/internal/rig/standin/judge"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- a/internal/virtual/boxes.go
+++ b/internal/rig/virtual/boxes.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"curlewring/decide"
-	"curlewring/internal/standin/judge"
+	"curlewring/internal/rig/standin/judge"
 )
 
 // come is the arrival of an attempt at its box.
--- a/internal/virtual/callers.go
+++ b/internal/rig/virtual/callers.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"curlewring/decide"
-	"curlewring/internal/standin/judge"
+	"curlewring/internal/rig/standin/judge"
 )
 
 // arrive plans the next first try.
--- a/internal/virtual/faults.go
+++ b/internal/rig/virtual/faults.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"curlewring/decide"
-	"curlewring/internal/standin/judge"
+	"curlewring/internal/rig/standin/judge"
 )
 
 func (r *run) step(s Step) {
--- a/internal/virtual/nodes.go
+++ b/internal/rig/virtual/nodes.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"curlewring/decide"
-	"curlewring/internal/standin/judge"
+	"curlewring/internal/rig/standin/judge"
 )
 
 // connectWithin is how long a node waits for a connection.
--- a/internal/virtual/past.go
+++ b/internal/rig/virtual/past.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"curlewring/decide"
-	"curlewring/internal/doubt"
+	"curlewring/internal/servers/doubt"
 )
 
 // Arm is what nodes make of an old list.
--- a/internal/virtual/run.go
+++ b/internal/rig/virtual/run.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"curlewring/decide"
-	"curlewring/internal/doubt"
-	"curlewring/internal/standin/judge"
+	"curlewring/internal/rig/standin/judge"
+	"curlewring/internal/servers/doubt"
 )
 
 // box is one box.
--- a/internal/membership/asking.go
+++ b/internal/servers/endpoints/asking.go
@@ -1,4 +1,4 @@
-package membership
+package endpoints
 
 import (
 	"math/rand/v2"
@@ -134,7 +134,7 @@
 	return &Asking{nodes: nodes, least: least, most: max(patienceTimes*least, time.Duration(nodes)*mostANode), patience: least}
 }
 
-// First is how long a starting node waits before it asks. One that has a list serves meanwhile, and leaves the
+// First is how long a starting node waits before it discovery. One that has a list serves meanwhile, and leaves the
 // turn to those that have none.
 func (a *Asking) First(haveList bool, draw float64) time.Duration {
 	if !haveList {
--- a/internal/membership/doc.go
+++ b/internal/servers/endpoints/doc.go
@@ -1,4 +1,4 @@
-// Package membership judges what discovery says of the servers: which of its word to
+// Package endpoints judges what discovery says of the servers: which of its word to
 // believe at once, which to let wait, and when to ask again.
 //
 // A View is between the lists that come and the loop that carries them out. Word that a
@@ -8,4 +8,4 @@
 //
 // It is pure: lists and time come in, changes go out. A View belongs to the loop. It must
 // not choose servers, nor make calls.
-package membership
+package endpoints
--- a/internal/membership/list.go
+++ b/internal/servers/endpoints/list.go
@@ -1,4 +1,4 @@
-package membership
+package endpoints
 
 import (
 	"encoding/json"
--- a/pure_test.go
+++ b/pure_test.go
@@ -14,9 +14,9 @@
 // pure lists the packages that decide. They get events and time, and give
 // actions back: all else would make a decision depend on what no test can set.
 func pure() []string {
-	return []string{"decide", "internal/routes", "internal/apps", "internal/document", "internal/budget",
-		"internal/wheel", "internal/hold", "internal/background", "internal/pressure",
-		"internal/store", "internal/recall", "internal/doubt", "internal/membership",
+	return []string{"decide", "internal/operators/routes", "internal/operators/apps", "internal/operators/document", "internal/budget",
+		"internal/sched/wheel", "internal/conns/hold", "internal/sched/background", "internal/conns/pressure",
+		"internal/store", "internal/servers/recall", "internal/servers/doubt", "internal/servers/endpoints",
 	}
 }
 
