Take out a tried server that the returning list does not name

Cause: a node that goes by an old list offers servers of it; when discovery speaks again, confirmed() hands the module all that the view has passed on. Now every peer that is not named is removed with the same call.

--- a/internal/node/past.go
+++ b/internal/node/past.go
@@ -193,12 +193,23 @@
 	}})
 }
 
-// confirmed ends the doubt: discovery has spoken. All that it has not taken back is as it says.
+// confirmed ends the doubt: discovery has spoken. All that it has not taken back is as it says; what was tried and is
+// not named gets nothing more.
 func (l *loop) confirmed() []endpoints.Entry {
 	trying, proven, rest := l.past.table.Counts()
 	l.log.Info("discovery has spoken", "tried", trying, "proven", proven, "not tried", rest, "serving", l.view.Serving())
 	l.past.table, l.past.entries = nil, nil
-	return l.view.All()
+	all := l.view.All()
+	named := make(map[string]bool, len(all))
+	for i := range all {
+		named[all[i].ID] = true
+	}
+	for id := range l.peers {
+		if !named[id] {
+			all = append(all, endpoints.Entry{Server: decide.Server{ID: id, Health: decide.Removed}})
+		}
+	}
+	return all
 }
 
 // remember tells the keeper of a list, and of what changed with it.
--- a/internal/node/past_test.go
+++ b/internal/node/past_test.go
@@ -167,9 +167,9 @@
 	d := NewDiscoveryServer(t)
 	n := withPast(t, d.Listener.Addr().String(), life(t, 7*24*time.Hour,
 		remembered("s0", proven.Addr(), recall.Serving), remembered("old", old.Addr(), recall.Serving)))
-	WaitFor(t, "the first has answered", func() bool {
+	WaitFor(t, "both have answered", func() bool {
 		exchange(t, request(t, n.url, "/look/1", ""))
-		return proven.Seen() > 0
+		return proven.Seen() > 0 && old.Seen() > 0
 	})
 	came, _ := proven.Connections()
 	d.Tell(t, ListOf(9, true, proven.Addr(), fresh.Addr()))
