Begin membership among the nodes: pure core, wire form, and a net in virtual time

Need: a node knows nothing of the others. The core has each member watched by ten others, accusations by gossip with two watermarks, and numbered views decided by a majority with single-decree Paxos whose votes are counted by gossip; a vote belongs to a life, so a node that forgot can't vote twice. Not used by the node yet.

--- /dev/null
+++ b/internal/fleet/membership/member.go
@@ -0,0 +1,245 @@
+package membership
+
+import (
+	"cmp"
+	"encoding/binary"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Member is one life of one node.
+type Member struct {
+	Name string
+	Site string
+	Addr netip.AddrPort // where others send to it
+	Life uint64         // drawn at each start, never 0: two processes of one name differ in it
+	// Incarnation counts the lives of the name, from 1.
+	Incarnation uint64
+}
+
+// The longest name and site, in bytes.
+const mostName = 64
+
+// Check finds what no member can be.
+func (m *Member) Check() error {
+	switch {
+	case m.Name == "" || len(m.Name) > mostName:
+		return fmt.Errorf("member: a name has 1 to %d bytes, this one %d", mostName, len(m.Name))
+	case len(m.Site) > mostName:
+		return fmt.Errorf("member %q: a site has %d bytes at most, this one %d", m.Name, mostName, len(m.Site))
+	case !m.Addr.IsValid() || m.Addr.Port() == 0:
+		return fmt.Errorf("member %q: no address", m.Name)
+	case m.Life == 0:
+		return fmt.Errorf("member %q: no life", m.Name)
+	}
+	return nil
+}
+
+// View is who is alive by agreement. It is never written to once it is made.
+type View struct {
+	Root    uint64   // drawn when the fleet was founded, never 0
+	Number  uint64   // grows by one with each change
+	Members []Member // by name, then by life
+	Digest  uint64   // of all of the above
+
+	byLife   map[uint64]uint32
+	byName   map[string]uint32
+	rings    [][]uint32 // each an order of the members; nil: everyone watches everyone
+	watchers [][]uint32 // of each member
+	watched  [][]uint32 // by each member
+	order    []uint32   // who proposes, first to last
+}
+
+// NewView makes a view of members, each watched by so many others, or by all if
+// there are no more. It sorts the members.
+func NewView(root, number uint64, members []Member, watchers int) (*View, error) {
+	if len(members) == 0 {
+		return nil, fmt.Errorf("view %d: nobody is in it", number)
+	}
+	v := &View{Root: root, Number: number, Members: members}
+	slices.SortFunc(v.Members, func(a, b Member) int {
+		return cmp.Or(strings.Compare(a.Name, b.Name), cmp.Compare(a.Life, b.Life))
+	})
+	n := len(members)
+	v.byLife, v.byName = make(map[uint64]uint32, n), make(map[string]uint32, n)
+	h := xxhash.New()
+	var word [8]byte
+	put := func(x uint64) {
+		binary.LittleEndian.PutUint64(word[:], x)
+		h.Write(word[:])
+	}
+	put(root)
+	put(number)
+	for i := range v.Members {
+		m := &v.Members[i]
+		if err := m.Check(); err != nil {
+			return nil, fmt.Errorf("view %d: %w", number, err)
+		}
+		if _, twice := v.byName[m.Name]; twice {
+			return nil, fmt.Errorf("view %d: two members are named %q", number, m.Name)
+		}
+		if _, twice := v.byLife[m.Life]; twice {
+			return nil, fmt.Errorf("view %d: two members have one life, the second is %q", number, m.Name)
+		}
+		v.byLife[m.Life], v.byName[m.Name] = uint32(i), uint32(i)
+		put(m.Life)
+		put(m.Incarnation)
+		h.WriteString(m.Name)
+		h.WriteString(m.Addr.String())
+		h.WriteString(m.Site)
+	}
+	v.Digest = h.Sum64()
+	v.draw(watchers)
+	return v, nil
+}
+
+// mix scatters a life's bits, differently for each ring.
+func mix(life uint64, ring int) uint64 {
+	x := life + uint64(ring+1)*0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// draw says who watches whom: on each of some rings a member is watched by the next one
+// that does not do so already.
+func (v *View) draw(k int) {
+	n := len(v.Members)
+	v.order = v.ring(-1)
+	v.watchers, v.watched = make([][]uint32, n), make([][]uint32, n)
+	if n-1 <= k {
+		for i := range v.watchers {
+			for j := range n {
+				if i != j {
+					v.watchers[i] = append(v.watchers[i], uint32(j))
+				}
+			}
+		}
+	} else {
+		for r := range k {
+			ring := v.ring(r)
+			v.rings = append(v.rings, ring)
+			for p, subject := range ring {
+				for d := 1; ; d++ {
+					if o := ring[(p+d)%n]; !slices.Contains(v.watchers[subject], o) {
+						v.watchers[subject] = append(v.watchers[subject], o)
+						break
+					}
+				}
+			}
+		}
+	}
+	for subject, all := range v.watchers {
+		for _, o := range all {
+			v.watched[o] = append(v.watched[o], uint32(subject))
+		}
+	}
+}
+
+func (v *View) ring(r int) []uint32 {
+	type place struct {
+		at uint64
+		i  uint32
+	}
+	places := make([]place, len(v.Members))
+	for i := range v.Members {
+		places[i] = place{mix(v.Members[i].Life, r), uint32(i)}
+	}
+	slices.SortFunc(places, func(a, b place) int { return cmp.Compare(a.at, b.at) })
+	ring := make([]uint32, len(places))
+	for i, p := range places {
+		ring[i] = p.i
+	}
+	return ring
+}
+
+// sponsors are those who try a life that wants in, before it is let in.
+func (v *View) sponsors(life uint64) []uint32 {
+	if v.rings == nil {
+		return v.order
+	}
+	var all []uint32
+	for r, ring := range v.rings {
+		at := mix(life, r)
+		p, _ := slices.BinarySearchFunc(ring, at, func(i uint32, at uint64) int { return cmp.Compare(mix(v.Members[i].Life, r), at) })
+		for d := range ring {
+			if o := ring[(p+d)%len(ring)]; !slices.Contains(all, o) {
+				all = append(all, o)
+				break
+			}
+		}
+	}
+	return all
+}
+
+// Index is the place of a life among the members; false if it is none.
+func (v *View) Index(life uint64) (uint32, bool) {
+	i, ok := v.byLife[life]
+	return i, ok
+}
+
+// Named is the place of the member of a name; false if there is none.
+func (v *View) Named(name string) (uint32, bool) {
+	i, ok := v.byName[name]
+	return i, ok
+}
+
+// majority is the number of votes that decide.
+func (v *View) majority() int { return len(v.Members)/2 + 1 }
+
+// Thresholds of accusations for a member with so many watchers.
+func high(watchers int) int { return (3*watchers + 3) / 4 }   // all but a few
+func low(watchers int) int  { return (3*watchers + 9) / 10 }  // below is noise
+func half(watchers int) int { return max(1, (watchers+1)/2) } // of those that see it alive
+
+// Proposal is a change of a view.
+type Proposal struct {
+	Of     uint64   // the number of the view that it changes
+	Remove []uint32 // places in that view, ascending
+	Add    []Member // by life
+}
+
+// Hash names a proposal; never 0.
+func (p *Proposal) Hash() uint64 {
+	h := xxhash.New()
+	var word [8]byte
+	put := func(x uint64) {
+		binary.LittleEndian.PutUint64(word[:], x)
+		h.Write(word[:])
+	}
+	put(p.Of)
+	put(uint64(len(p.Remove)))
+	for _, i := range p.Remove {
+		put(uint64(i))
+	}
+	for i := range p.Add {
+		put(p.Add[i].Life)
+		put(p.Add[i].Incarnation)
+		h.WriteString(p.Add[i].Name + "\x00" + p.Add[i].Site + "\x00" + p.Add[i].Addr.String())
+	}
+	return max(1, h.Sum64())
+}
+
+// Next is the view that a proposal makes of this one.
+func (v *View) Next(p *Proposal, watchers int) (*View, error) {
+	if p.Of != v.Number {
+		return nil, fmt.Errorf("a proposal for view %d came to view %d", p.Of, v.Number)
+	}
+	members := make([]Member, 0, len(v.Members)+len(p.Add))
+	at := 0
+	for i := range v.Members {
+		if at < len(p.Remove) && p.Remove[at] == uint32(i) {
+			at++
+			continue
+		}
+		members = append(members, v.Members[i])
+	}
+	if at < len(p.Remove) {
+		return nil, fmt.Errorf("a proposal for view %d takes out place %d of %d, or one twice", p.Of, p.Remove[at], len(v.Members))
+	}
+	return NewView(v.Root, v.Number+1, append(members, p.Add...), watchers)
+}
--- /dev/null
+++ b/internal/fleet/membership/probe.go
@@ -0,0 +1,150 @@
+package membership
+
+import (
+	"fmt"
+	"time"
+)
+
+// edge is this node's watch of one member.
+type edge struct {
+	member Member
+	slot   uint32 // which of its watchers this node is
+	begun  time.Duration
+	heard  time.Duration // the last contact; 0: none
+	round  time.Duration // when the next round of probes begins
+	tries  int           // in this round
+	next   time.Duration // when the next attempt is due
+	open   [8]sent       // attempts without an answer, the oldest overwritten
+	opens  int
+	since  int // attempts since the last contact
+	down   bool
+	seq    uint32 // of what this node says of it
+
+	rounds, lost int // rounds of probes, and those with no answer
+	loss         float64
+	rtt          time.Duration
+	answered     bool // this round was
+}
+
+type sent struct {
+	seq uint64
+	at  time.Duration
+}
+
+func (n *Node) edge(m Member) *edge {
+	return &edge{member: m, begun: n.now, round: n.now + time.Duration(n.rng.Float64()*float64(n.set.Period))}
+}
+
+// probe sends what is due and judges who is silent.
+func (n *Node) probe() {
+	contact := false
+	for _, subject := range n.view.watched[n.at] {
+		e := n.edges[subject]
+		n.probeOne(e)
+		contact = contact || e.heard > 0 && n.now-e.heard < 2*n.set.Period || e.heard == 0 && n.now-e.begun < 2*n.set.Period
+	}
+	// Who hears nobody at all is itself cut off: it accuses nobody, and afterwards starts to count anew.
+	if alone := !contact && len(n.edges) > 1; alone != n.isolated {
+		n.isolated = alone
+		for _, e := range n.edges {
+			if !alone {
+				e.begun = n.now
+			}
+		}
+	}
+	if n.isolated {
+		return
+	}
+	for _, subject := range n.view.watched[n.at] {
+		e := n.edges[subject]
+		if silent := n.now - max(e.heard, e.begun); !e.down && silent >= n.set.Silence && e.since >= 2*attempts {
+			e.down = true
+			n.stats.Accusations++
+			n.accuse(subject, e)
+			n.event(Event{Kind: Accused, Member: e.member, Text: fmt.Sprintf("no contact for %v, %d probes", silent.Round(time.Millisecond), e.since)})
+		}
+	}
+}
+
+func (n *Node) probeOne(e *edge) {
+	if n.now >= e.round {
+		if e.rounds > 0 {
+			x := 0.0
+			if !e.answered {
+				x = 1
+				e.lost++
+			}
+			e.loss += (x - e.loss) / 16
+		}
+		e.rounds++
+		e.round += n.set.Period
+		if e.round <= n.now {
+			e.round = n.now + n.set.Period
+		}
+		e.tries, e.next, e.answered = 0, n.now, false
+	}
+	if e.tries < attempts && !e.answered && n.now >= e.next {
+		e.tries++
+		e.next = n.now + n.set.Again
+		e.since++
+		n.seq++
+		e.open[e.opens%len(e.open)] = sent{n.seq, n.now}
+		e.opens++
+		n.send(e.member.Addr, &Message{Kind: Probe, Seq: n.seq})
+	}
+}
+
+// accuse makes news of what this node holds of one that it watches.
+func (n *Node) accuse(subject uint32, e *edge) {
+	e.seq++
+	a := Alert{Subject: subject, Slot: e.slot, Seq: e.seq, Down: e.down}
+	if n.cut.alert(n.view, a, n.now) {
+		n.news.add(newsItem{alert: true, subject: subject, slot: e.slot}, n.copies())
+	}
+}
+
+// answer answers a probe, whoever sent it: the sender learns of this life and its view.
+func (n *Node) answer(m *Message) {
+	to, ok := n.addressOf(m)
+	if !ok {
+		return
+	}
+	ack := &Message{Kind: Ack, Seq: m.Seq}
+	if m.Self != nil {
+		self := n.self
+		ack.Self = &self
+	}
+	n.send(to, ack)
+}
+
+// acked takes a contact. An answer of another life, or to nothing that was asked, is none.
+func (n *Node) acked(m *Message) {
+	if t := n.trials[m.Life]; t != nil {
+		n.tried(t, m.Seq)
+	}
+	if n.view == nil {
+		return
+	}
+	i, ok := n.view.Index(m.Life)
+	e := n.edges[i]
+	if !ok || e == nil || e.member.Life != m.Life {
+		return
+	}
+	for k := range e.open {
+		if o := &e.open[k]; o.seq == m.Seq && o.seq != 0 {
+			if rtt := n.now - o.at; e.rtt == 0 {
+				e.rtt = rtt
+			} else {
+				e.rtt += (rtt - e.rtt) / 8
+			}
+			*o = sent{}
+			e.heard, e.since, e.answered = n.now, 0, true
+			if e.down {
+				e.down = false
+				n.accuse(i, e)
+				n.event(Event{Kind: Accused, Member: e.member, Text: "contact again"})
+			}
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/membership/settings.go
@@ -0,0 +1,110 @@
+package membership
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+)
+
+// Settings are what a node goes by. Zero values become the defaults of Default.
+type Settings struct {
+	Self  Member // Life and Incarnation are drawn
+	Seeds []netip.AddrPort
+	// Of an earlier life of this node: nothing, or what it kept.
+	Incarnation uint64           // of that life
+	Number      uint64           // of the last view that it was in
+	Known       []netip.AddrPort // some members of it
+
+	Watchers int           // of each member
+	Period   time.Duration // between two rounds of probes of one watched member
+	Again    time.Duration // between the attempts of a round; there are three
+	Silence  time.Duration // without contact, after which a watcher accuses
+	Round    time.Duration // between two rounds of gossip, and two ticks
+	Fanout   int           // receivers of a round
+	MostNews int           // bytes of news in a datagram
+	Budget   int           // bytes of news a second, in the long run
+
+	// Next makes a view of a view and a proposal. It may hand out one view to many nodes; nil:
+	// View.Next.
+	Next func(*View, *Proposal) (*View, error)
+}
+
+// Default fills in what is not set.
+func (s Settings) Default() Settings {
+	or := func(x *int, d int) {
+		if *x <= 0 {
+			*x = d
+		}
+	}
+	dur := func(x *time.Duration, d time.Duration) {
+		if *x <= 0 {
+			*x = d
+		}
+	}
+	or(&s.Watchers, 10)
+	or(&s.Fanout, 3)
+	or(&s.MostNews, 1100)
+	or(&s.Budget, 16<<10)
+	dur(&s.Period, time.Second)
+	dur(&s.Again, 300*time.Millisecond)
+	dur(&s.Silence, 3600*time.Millisecond)
+	dur(&s.Round, 100*time.Millisecond)
+	if len(s.Seeds) == 0 {
+		s.Seeds = []netip.AddrPort{s.Self.Addr}
+	}
+	if s.Next == nil {
+		k := s.Watchers
+		s.Next = func(v *View, p *Proposal) (*View, error) { return v.Next(p, k) }
+	}
+	return s
+}
+
+// Check finds settings that can't work.
+func (s *Settings) Check() error {
+	self := s.Self
+	self.Life = 1
+	if err := self.Check(); err != nil {
+		return err
+	}
+	if s.Watchers > 16 {
+		return fmt.Errorf("watchers: at most 16, not %d", s.Watchers)
+	}
+	if s.Silence < 2*s.Period {
+		return fmt.Errorf("silence: at least two periods of %v, not %v", s.Period, s.Silence)
+	}
+	return nil
+}
+
+// Bounds that hold whatever is set.
+const (
+	mostMembers  = 20_000
+	mostAdds     = 1024 // in one change
+	mostPending  = 4096 // that want in
+	mostInline   = 700  // bytes of a proposal that goes along with votes
+	mostNewsKept = 8192 // items
+	attempts     = 3    // of a round of probes
+)
+
+// Times that follow from no setting.
+const (
+	stallAfter   = 700 * time.Millisecond // between ticks: the node stood still
+	aliveEvery   = time.Second            // an accused member speaks up so often
+	aliveFresh   = 3 * time.Second        // its word holds so long
+	steady       = 300 * time.Millisecond // no news for so long: propose
+	steadyMost   = 1500 * time.Millisecond
+	halfAfter    = 6 * time.Second // seen alive, accused by half for so long
+	ballotWait   = 700 * time.Millisecond
+	ballotLong   = 2500 * time.Millisecond
+	joinEvery    = 500 * time.Millisecond
+	joinMost     = 5 * time.Second
+	tryFor       = 8 * time.Second
+	foundAfter   = 1500 * time.Millisecond
+	foundSteady  = time.Second
+	seedHeard    = 1800 * time.Millisecond
+	seedEvery    = 2 * time.Second // members look for seeds that are in no view
+	pullEvery    = 500 * time.Millisecond
+	againFirst   = 5 * time.Second // a name taken out again and again waits, doubled each time
+	againMost    = 5 * time.Minute
+	againForget  = 10 * time.Minute
+	conflictWait = 10 * time.Second
+)
--- /dev/null
+++ b/internal/fleet/membership/vote.go
@@ -0,0 +1,230 @@
+package membership
+
+import (
+	"slices"
+	"time"
+)
+
+// A ballot is a round in the upper half and, in the lower, one plus the proposer's rank. The first ballot of a
+// view is its first proposer's alone, and needs no promises: nobody can have accepted anything before.
+const firstBallot = 1
+
+func ballotOf(round uint64, rank int) uint64 { return round<<32 | uint64(rank+1) }
+
+// ballots is this node's part in the decision on the next view.
+type ballots struct {
+	promised  uint64 // nothing below is accepted any more
+	accepted  uint64 // the latest ballot in which this node accepted ...
+	value     uint64 // ... this
+	cur       Vote   // the latest ballot that is known; Ballot 0: none
+	begun     time.Duration
+	proposals map[uint64]*Proposal
+	rank      int   // of this node among those who propose
+	last      *Vote // what made this view, with ...
+	made      *Proposal
+	tell      int // ... so many tellings left
+	asked     time.Duration
+}
+
+// mostProposals is how many a node keeps of one view.
+const mostProposals = 32
+
+func (b *ballots) begin(v *View, at uint32) {
+	last, made := b.last, b.made
+	if last != nil && last.Of != v.Number-1 {
+		last, made = nil, nil
+	}
+	*b = ballots{proposals: map[uint64]*Proposal{}, last: last, made: made, rank: slices.Index(v.order, at)}
+}
+
+func (b *ballots) learn(p *Proposal) uint64 {
+	h := p.Hash()
+	if len(b.proposals) < mostProposals || h == b.cur.Value || h == b.value {
+		b.proposals[h] = p
+	}
+	return h
+}
+
+// propose opens a ballot where there is something to change and it is this node's turn.
+func (n *Node) propose() {
+	v := n.view
+	out, clear := n.cut.verdict(v, n.now)
+	adds, replaced := n.ready(out)
+	if len(out)+len(adds) == 0 {
+		n.cut.ripe = 0
+		n.weigh()
+		return
+	}
+	if n.cut.ripe == 0 {
+		n.cut.ripe = n.now
+	}
+	if !(clear && n.now-n.cut.changed >= steady) && n.now-n.cut.ripe < steadyMost {
+		n.weigh()
+		return
+	}
+	if _, me := slices.BinarySearch(out, n.at); me && n.phase != Leaving {
+		n.weigh()
+		return // it is for the others to say so
+	}
+	if !n.turn(out) {
+		n.weigh()
+		return
+	}
+	out = append(out, replaced...)
+	slices.Sort(out)
+	p := &Proposal{Of: v.Number, Remove: slices.Compact(out), Add: adds}
+	h := n.vote.learn(p)
+	b := &n.vote
+	if b.rank == 0 && b.cur.Ballot == 0 && b.promised == 0 {
+		b.open(Vote{Of: v.Number, Ballot: firstBallot, Value: h, Accepts: NewBits(len(v.Members))}, n.now)
+	} else {
+		b.open(Vote{Of: v.Number, Ballot: ballotOf(b.cur.Ballot>>32+1, b.rank), Promises: NewBits(len(v.Members))}, n.now)
+		b.proposals[0] = p // what this node would have, if it is free to choose
+	}
+	n.weigh()
+}
+
+func (b *ballots) open(v Vote, now time.Duration) { b.cur, b.begun = v, now }
+
+// turn tells whether this node may open a ballot now: those before it in the order, who are not accused, come
+// first, and a ballot that is open has its time.
+func (n *Node) turn(out []uint32) bool {
+	before := 0
+	for _, i := range n.view.order {
+		if i == n.at {
+			break
+		}
+		if _, gone := slices.BinarySearch(out, i); !gone && !n.silent(i) {
+			before++
+		}
+	}
+	wait := time.Duration(before) * ballotWait
+	if n.vote.cur.Ballot == 0 {
+		return n.now-n.cut.ripe >= steady+wait
+	}
+	return n.now-n.vote.begun >= ballotLong+wait
+}
+
+// silent tells whether a member is accused and does not speak.
+func (n *Node) silent(i uint32) bool { return n.cut.accused(n.view, i) && !n.cut.rows[i].speaks(n.now) }
+
+// proposers are the first so many who would propose.
+func (n *Node) proposers(most int) []uint32 {
+	var all []uint32
+	for _, i := range n.view.order {
+		if !n.silent(i) {
+			if all = append(all, i); len(all) == most {
+				break
+			}
+		}
+	}
+	return all
+}
+
+// hearVote takes the state of a decision and joins it with what is known here.
+func (n *Node) hearVote(m *Message) {
+	x := m.Vote
+	if n.view == nil || x.Of != n.view.Number || x.Ballot == 0 {
+		return
+	}
+	if p := m.Change; p != nil && p.Of == x.Of {
+		n.vote.learn(p)
+	}
+	b, size := &n.vote, len(NewBits(len(n.view.Members)))
+	if x.Ballot < b.cur.Ballot || x.Value == 0 && len(x.Promises) != size || x.Value != 0 && len(x.Accepts) != size {
+		return
+	}
+	if x.Ballot > b.cur.Ballot {
+		b.open(Vote{Of: x.Of, Ballot: x.Ballot, Promises: NewBits(len(n.view.Members))}, n.now)
+	}
+	c := &b.cur
+	if x.Value == 0 {
+		if c.Value == 0 {
+			c.Promises.merge(x.Promises)
+			if x.Accepted > c.Accepted {
+				c.Accepted, c.Best = x.Accepted, x.Best
+			}
+		}
+	} else {
+		if c.Value == 0 {
+			c.Value, c.Forced, c.Accepts = x.Value, x.Forced, NewBits(len(n.view.Members))
+		}
+		if c.Value != x.Value {
+			return // two values in one ballot: not of this protocol
+		}
+		c.Accepts.merge(x.Accepts)
+	}
+	if c.Value != 0 && b.proposals[c.Value] == nil && n.now-b.asked >= pullEvery {
+		if to, ok := n.addressOf(m); ok {
+			b.asked = n.now
+			n.stream(to, &Message{Kind: Pull, Want: c.Value})
+		}
+	}
+	n.weigh()
+}
+
+// weigh does what the known state of the decision asks of this node: promise, choose, accept, decide.
+func (n *Node) weigh() {
+	b, c := &n.vote, &n.vote.cur
+	if n.view == nil || c.Ballot == 0 {
+		return
+	}
+	if c.Value == 0 && c.Ballot >= b.promised && !c.Promises.Has(n.at) {
+		b.promised = c.Ballot
+		c.Promises.set(n.at)
+		if b.accepted > c.Accepted {
+			c.Accepted, c.Best = b.accepted, b.value
+		}
+	}
+	if c.Value == 0 && c.Ballot == ballotOf(c.Ballot>>32, b.rank) && c.Ballot != firstBallot && c.Promises.count() >= n.view.majority() {
+		if c.Accepted != 0 {
+			c.Value, c.Forced = c.Best, true
+		} else if p := b.proposals[0]; p != nil {
+			c.Value = p.Hash()
+			b.proposals[c.Value] = p
+		}
+		if c.Value != 0 {
+			c.Accepts = NewBits(len(n.view.Members))
+		}
+	}
+	if c.Value == 0 {
+		return
+	}
+	p := b.proposals[c.Value]
+	if c.Ballot >= b.promised && !c.Accepts.Has(n.at) && p != nil && (c.Forced || n.agrees(p)) {
+		b.promised, b.accepted, b.value = c.Ballot, c.Ballot, c.Value
+		c.Accepts.set(n.at)
+	}
+	if p != nil && c.Accepts.count() >= n.view.majority() {
+		n.decided(p)
+	}
+}
+
+// agrees tells whether what this node knows speaks for a proposal. It says nothing against those that come in.
+func (n *Node) agrees(p *Proposal) bool {
+	for _, i := range p.Remove {
+		if int(i) >= len(n.view.Members) {
+			return false
+		}
+		replaced := slices.ContainsFunc(p.Add, func(a Member) bool { return a.Addr == n.view.Members[i].Addr })
+		if !replaced && !n.cut.supports(n.view, i, n.now) {
+			return false
+		}
+	}
+	return true
+}
+
+// decided makes the next view.
+func (n *Node) decided(p *Proposal) {
+	next, err := n.set.Next(n.view, p)
+	if err != nil {
+		return // nobody can make a view of it: a later ballot brings another
+	}
+	why := n.reason(p)
+	last := n.vote.cur
+	n.vote.last, n.vote.made = &last, p
+	n.install(next, why)
+	if n.view == next {
+		n.vote.tell = n.copies()
+	}
+}
--- /dev/null
+++ b/internal/rig/members/net_test.go
@@ -0,0 +1,43 @@
+package members
+
+import (
+	"testing"
+	"time"
+)
+
+func TestStart(t *testing.T) {
+	for _, nodes := range []int{1, 2, 3, 5, 9, 50, 300, 1000} {
+		n := New(Config{Seed: 1, Nodes: nodes, Sites: 4, Seeds: min(3, nodes), Wire: nodes < 100, Weigh: true, Shared: nodes >= 100})
+		n.StartAll()
+		ok := n.Until(60*time.Second, func() bool { return n.Agreed(n.Living()...) })
+		bytes := 0
+		for _, x := range n.Nodes {
+			bytes = max(bytes, x.Bytes)
+		}
+		t.Logf("%d nodes: agreed %v after %v, %d views, most bytes %d", nodes, ok, n.Now, len(n.views), bytes)
+		if !ok || len(n.Wrong) > 0 {
+			t.Errorf("%d nodes: %v", nodes, n.Wrong)
+		}
+		from := make([]int, nodes)
+		for i, x := range n.Nodes {
+			from[i] = x.Bytes
+		}
+		n.Run(n.Now + 10*time.Second)
+		sum := 0
+		for i, x := range n.Nodes {
+			sum += x.Bytes - from[i]
+		}
+		t.Logf("  at rest %d bytes a node a second, %d views", sum/nodes/10, len(n.views))
+		if nodes < 3 {
+			continue
+		}
+		dead := nodes - 1
+		n.Kill(dead)
+		at := n.Now
+		ok = n.Until(30*time.Second, func() bool { return n.Agreed(n.Living()...) })
+		t.Logf("  one killed: agreed %v after %v", ok, n.Now-at)
+		if !ok {
+			t.Errorf("no agreement")
+		}
+	}
+}
