Play membership's faults and random schedules in virtual time; mend what they found

Found and mended, each seen as a failing run first: a minority's accepted ballot decided after the split healed (every ballot begins with promises now, and nothing is put to the vote without a majority that is not silent); a member taken out before its own word could come over a bridge of one node (the accused is told by those who probe it, and has time to speak); a node that was voted out while its tick went on; a fleet founded anew whose number was behind what a returning node had seen; a view whose majority has ended for good (proved by other lives at their addresses, it is left).

--- a/internal/fleet/membership/cut.go
+++ b/internal/fleet/membership/cut.go
@@ -11,7 +11,8 @@
 	rows    map[uint32]*row
 	changed time.Duration // the last news
 	ripe    time.Duration // since when somebody is to be taken out; 0: nobody is
-	left    []uint32      // who has said that it goes
+	left    []uint32      // who has said that it goes, or has ended for certain
+	ended   []uint32      // of these, whose address another life has
 }
 
 type row struct {
@@ -20,6 +21,7 @@
 	alive    time.Duration
 	aliveSeq uint32
 	halved   time.Duration // since when half of the watchers accuse; 0: they don't
+	since    time.Duration // since when so many do that it is no noise; 0: they don't
 }
 
 func (c *cut) row(i uint32) *row {
@@ -49,15 +51,22 @@
 	} else {
 		r.down &^= 1 << a.Slot
 	}
-	if accusers := bits.OnesCount16(r.down); accusers < half(len(v.watchers[a.Subject])) {
-		r.halved = 0
-	} else if r.halved == 0 {
-		r.halved = now
-	}
+	accusers, k := bits.OnesCount16(r.down), len(v.watchers[a.Subject])
+	since(&r.halved, accusers >= half(k), now)
+	since(&r.since, accusers >= low(k), now)
 	c.changed = now
 	return true
 }
 
+// since keeps the time from which something has held.
+func since(at *time.Duration, holds bool, now time.Duration) {
+	if !holds {
+		*at = 0
+	} else if *at == 0 {
+		*at = now
+	}
+}
+
 // lives books a member's own word.
 func (c *cut) lives(v *View, a Alive, now time.Duration) bool {
 	if int(a.Member) >= len(v.Members) {
@@ -71,12 +80,16 @@
 	return true
 }
 
-func (c *cut) leaves(i uint32) bool {
-	if slices.Contains(c.left, i) {
-		return false
+// leaves books that a member goes; or has ended, for certain: another life has its address.
+func (c *cut) leaves(i uint32, ended bool) bool {
+	isNew := false
+	if !slices.Contains(c.left, i) {
+		c.left, isNew = append(c.left, i), true
 	}
-	c.left = append(c.left, i)
-	return true
+	if ended && !slices.Contains(c.ended, i) {
+		c.ended, isNew = append(c.ended, i), true
+	}
+	return isNew
 }
 
 // speaks tells whether a member has lately said that it lives.
@@ -88,21 +101,27 @@
 	return r != nil && bits.OnesCount16(r.down) >= low(len(v.watchers[i])) && r.down != 0
 }
 
-// count is how many accuse a member. A watcher that is itself accused and does not speak can't tell, and
-// counts as if it did.
+// count is how many accuse a member. A watcher that is itself accused, and has not spoken in the time in which its
+// word would have come, can't tell, and counts as if it did.
 func (c *cut) count(v *View, i uint32, now time.Duration) (explicit, all int) {
 	r := c.rows[i]
 	for s, w := range v.watchers[i] {
 		if r.down&(1<<s) != 0 {
 			explicit++
 			all++
-		} else if c.accused(v, w) && !c.rows[w].speaks(now) {
+		} else if c.mute(w, now) {
 			all++
 		}
 	}
 	return explicit, all
 }
 
+// mute tells whether a member has been accused for so long that its own word would have come, and has not.
+func (c *cut) mute(i uint32, now time.Duration) bool {
+	r := c.rows[i]
+	return r != nil && r.since > 0 && now-r.since >= wordWithin && !r.speaks(now)
+}
+
 // verdict says who is to be taken out of the view, and whether that is clear: nobody stands between the
 // two watermarks. Who speaks is taken out only where half of its watchers have long had no contact, its
 // own site's among them, and there are few such: many are a cut between sites, not members that fail.
@@ -120,7 +139,7 @@
 			if explicit >= half(k) && now-r.halved >= halfAfter && c.ownSite(v, i) {
 				halved = append(halved, i)
 			}
-		case explicit >= low(k) && all >= high(k):
+		case explicit >= low(k) && all >= high(k) && now-r.since >= wordFirst:
 			out = append(out, i)
 		case all >= low(k):
 			clear = false
@@ -138,7 +157,7 @@
 	return out, clear
 }
 
-// ownSite tells whether half of a member's watchers at its own site accuse it, if there are any.
+// ownSite tells whether half of a member's watchers at its own site accuse it. One that is alone at its site has none.
 func (c *cut) ownSite(v *View, i uint32) bool {
 	same, accuse := 0, 0
 	for s, w := range v.watchers[i] {
@@ -161,8 +180,9 @@
 	if !c.accused(v, i) {
 		return false
 	}
+	// Clocks differ by what news takes to come here.
 	r := c.rows[i]
-	return !r.speaks(now) || bits.OnesCount16(r.down) >= half(len(v.watchers[i]))
+	return !r.speaks(now) || r.halved > 0 && now-r.halved >= halfAfter-time.Second && c.ownSite(v, i)
 }
 
 // defend speaks up where this node is accused.
--- a/internal/fleet/membership/join.go
+++ b/internal/fleet/membership/join.go
@@ -90,7 +90,7 @@
 			agree++
 		}
 	}
-	if low != uint32(mine)+1 || agree < len(n.set.Seeds)/2+1 || n.now-n.started < foundAfter || s.met > 0 && n.now-s.met < 4*joinMost {
+	if low != uint32(mine)+1 || agree < len(n.set.Seeds)/2+1 || n.now-n.started < foundAfter || s.met > 0 && n.now-s.met < 2*joinMost {
 		s.steady = 0
 		return false
 	}
@@ -145,12 +145,13 @@
 			}
 			return
 		}
+		n.leaving(Leave{Member: i, Ended: true})
 	}
 	if r := n.removed[who.Name]; r != nil && n.now < r.until {
 		return
 	}
 	for s, sponsor := range n.view.sponsors(who.Life) {
-		c := Candidate{*who, uint32(s)}
+		c := Candidate{*who, uint32(s), m.Number}
 		if sponsor == n.at {
 			n.sponsor(c)
 		} else {
@@ -190,7 +191,7 @@
 		t = &trial{Candidate: c, next: n.now}
 		n.trials[c.Member.Life] = t
 	}
-	t.Slot, t.until = c.Slot, n.now+tryFor
+	t.Slot, t.Number, t.until = c.Slot, c.Number, n.now+tryFor
 }
 
 // try probes the lives that this node is a sponsor of, in the order of their lives.
@@ -245,6 +246,7 @@
 	member Member
 	slots  uint16
 	at     time.Duration
+	number uint64 // of the last view that it knew of
 }
 
 func (n *Node) admit(m *Message) {
@@ -270,7 +272,7 @@
 		p = &pending{member: c.Member}
 		n.pending[c.Member.Life] = p
 	}
-	p.at = n.now
+	p.at, p.number = n.now, max(p.number, c.Number)
 	if p.slots&(1<<c.Slot) == 0 {
 		p.slots |= 1 << c.Slot
 		n.cut.changed = n.now
@@ -290,10 +292,10 @@
 	}
 }
 
-// ready are those that may come in, and whom of the view they replace.
-func (n *Node) ready(out []uint32) (adds []Member, replaced []uint32) {
+// ready are those that may come in, whom of the view they replace, and the latest view that any of them knew of.
+func (n *Node) ready(out []uint32) (adds []Member, replaced []uint32, number uint64) {
 	if len(n.pending) == 0 {
-		return nil, nil
+		return nil, nil, 0
 	}
 	names := map[string]bool{}
 	all := make([]*pending, 0, len(n.pending))
@@ -335,9 +337,10 @@
 		}
 		names[m.Name] = true
 		adds = append(adds, m)
+		number = max(number, p.number)
 	}
 	slices.SortFunc(adds, func(a, b Member) int { return cmp.Compare(a.Life, b.Life) })
-	return adds, replaced
+	return adds, replaced, number
 }
 
 // taken gives way to one that has this node's name.
--- a/internal/fleet/membership/member.go
+++ b/internal/fleet/membership/member.go
@@ -106,7 +106,8 @@
 }
 
 // draw says who watches whom: on each of some rings a member is watched by the next one
-// that does not do so already.
+// that does not do so already. The first ring is one for each site, so that one of its own
+// site watches a member, if there is one.
 func (v *View) draw(k int) {
 	n := len(v.Members)
 	v.order = v.ring(-1)
@@ -120,7 +121,9 @@
 			}
 		}
 	} else {
-		for r := range k {
+		v.rings = append(v.rings, v.order)
+		v.drawSites()
+		for r := 1; r < k; r++ {
 			ring := v.ring(r)
 			v.rings = append(v.rings, ring)
 			for p, subject := range ring {
@@ -140,6 +143,26 @@
 	}
 }
 
+func (v *View) drawSites() {
+	sites := map[string][]uint32{}
+	for _, i := range v.order {
+		site := v.Members[i].Site
+		sites[site] = append(sites[site], i)
+	}
+	for p, subject := range v.order {
+		if len(sites[v.Members[subject].Site]) == 1 {
+			v.watchers[subject] = append(v.watchers[subject], v.order[(p+1)%len(v.order)])
+		}
+	}
+	for _, own := range sites {
+		for p, subject := range own {
+			if len(own) > 1 {
+				v.watchers[subject] = append(v.watchers[subject], own[(p+1)%len(own)])
+			}
+		}
+	}
+}
+
 func (v *View) ring(r int) []uint32 {
 	type place struct {
 		at uint64
@@ -164,6 +187,9 @@
 	}
 	var all []uint32
 	for r, ring := range v.rings {
+		if r == 0 {
+			r = -1 // the order of those who propose
+		}
 		at := mix(life, r)
 		p, _ := slices.BinarySearchFunc(ring, at, func(i uint32, at uint64) int { return cmp.Compare(mix(v.Members[i].Life, r), at) })
 		for d := range ring {
@@ -199,6 +225,7 @@
 // Proposal is a change of a view.
 type Proposal struct {
 	Of     uint64   // the number of the view that it changes
+	Number uint64   // of the view that it makes: the next, or beyond all that those who come in have known
 	Remove []uint32 // places in that view, ascending
 	Add    []Member // by life
 }
@@ -212,6 +239,7 @@
 		h.Write(word[:])
 	}
 	put(p.Of)
+	put(p.Number)
 	put(uint64(len(p.Remove)))
 	for _, i := range p.Remove {
 		put(uint64(i))
@@ -226,8 +254,8 @@
 
 // Next is the view that a proposal makes of this one.
 func (v *View) Next(p *Proposal, watchers int) (*View, error) {
-	if p.Of != v.Number {
-		return nil, fmt.Errorf("a proposal for view %d came to view %d", p.Of, v.Number)
+	if p.Of != v.Number || p.Number <= v.Number {
+		return nil, fmt.Errorf("a proposal of view %d for view %d came to view %d", p.Number, p.Of, v.Number)
 	}
 	members := make([]Member, 0, len(v.Members)+len(p.Add))
 	at := 0
@@ -241,5 +269,8 @@
 	if at < len(p.Remove) {
 		return nil, fmt.Errorf("a proposal for view %d takes out place %d of %d, or one twice", p.Of, p.Remove[at], len(v.Members))
 	}
-	return NewView(v.Root, v.Number+1, append(members, p.Add...), watchers)
+	return NewView(v.Root, p.Number, append(members, p.Add...), watchers)
 }
+
+// Watchers are the places of those who watch a member.
+func (v *View) Watchers(i uint32) []uint32 { return v.watchers[i] }
--- a/internal/fleet/membership/message.go
+++ b/internal/fleet/membership/message.go
@@ -29,7 +29,7 @@
 
 	Alerts  []Alert
 	Alive   []Alive
-	Leaving []uint32 // places
+	Leaving []Leave
 	Vote    *Vote
 	Joins   []Candidate
 	Holder  *Member
@@ -53,10 +53,17 @@
 	Seq    uint32
 }
 
+// Leave says that a member goes, or that it has ended: another life has its address.
+type Leave struct {
+	Member uint32 // place in the view
+	Ended  bool
+}
+
 // Candidate is one that wants in, and which of its sponsors has tried it.
 type Candidate struct {
 	Member Member
 	Slot   uint32
+	Number uint64 // of the last view that it knew of
 }
 
 // Vote is the state of a decision, as far as its sender knows: in the first phase who
--- a/internal/fleet/membership/news.go
+++ b/internal/fleet/membership/news.go
@@ -22,6 +22,9 @@
 	queue  []newsItem // those in left, in the order that they came
 	tokens float64    // bytes
 	filled time.Duration
+
+	repeated time.Duration
+	turn     int
 }
 
 func (q *news) clear() { q.left, q.queue = map[newsItem]int{}, q.queue[:0] }
@@ -51,7 +54,7 @@
 		r := n.cut.rows[i.subject]
 		switch {
 		case i.leaving:
-			m.Leaving = append(m.Leaving, i.subject)
+			m.Leaving = append(m.Leaving, Leave{i.subject, slices.Contains(n.cut.ended, i.subject)})
 		case i.alive:
 			m.Alive = append(m.Alive, Alive{i.subject, r.aliveSeq})
 		default:
@@ -74,8 +77,9 @@
 	q := &n.news
 	q.tokens = min(float64(n.set.Budget), q.tokens+float64(n.set.Budget)*(n.now-q.filled).Seconds())
 	q.filled = n.now
+	n.repeat()
 	b := &n.vote
-	voting := b.cur.Ballot != 0
+	voting := b.cur.Ballot != 0 && n.now-b.grown < ballotLong
 	if len(n.view.Members) < 2 || len(q.queue) == 0 && !voting && b.tell == 0 {
 		return
 	}
@@ -101,6 +105,31 @@
 	b.tell = max(0, b.tell-1)
 }
 
+// repeat passes a part of what is held against members on again, once in a while: gossip alone may miss some.
+func (n *Node) repeat() {
+	q := &n.news
+	if len(q.queue) > 0 || len(n.cut.rows) == 0 || n.now-q.repeated < n.set.Period {
+		return
+	}
+	q.repeated = n.now
+	rows := make([]uint32, 0, len(n.cut.rows))
+	for i, r := range n.cut.rows {
+		if r.down != 0 {
+			rows = append(rows, i)
+		}
+	}
+	slices.Sort(rows)
+	items := n.set.MostNews / 2 / itemBytes
+	for k := 0; k < len(rows) && items > 0; k++ {
+		i := rows[(q.turn+k)%len(rows)]
+		for _, a := range n.against(i) {
+			q.add(newsItem{alert: true, subject: i, slot: a.Slot}, 1)
+			items--
+		}
+	}
+	q.turn++
+}
+
 // ballot is a copy of a decision's state for a message, with the proposal if it is short.
 func (n *Node) ballot(v Vote, p *Proposal) (*Vote, *Proposal) {
 	if v.Value != 0 {
@@ -145,14 +174,20 @@
 			n.news.add(newsItem{alive: true, subject: a.Member}, n.copies())
 		}
 	}
-	for _, i := range m.Leaving {
-		if int(i) < len(n.view.Members) && n.cut.leaves(i) {
-			n.cut.changed = n.now
-			n.news.add(newsItem{leaving: true, subject: i}, n.copies())
+	for _, l := range m.Leaving {
+		if int(l.Member) < len(n.view.Members) && (l.Member != n.at || !l.Ended) {
+			n.leaving(l)
 		}
 	}
 }
 
+func (n *Node) leaving(l Leave) {
+	if n.cut.leaves(l.Member, l.Ended) {
+		n.cut.changed = n.now
+		n.news.add(newsItem{leaving: true, subject: l.Member}, n.copies())
+	}
+}
+
 // reason says what led to a change, for the log.
 func (n *Node) reason(p *Proposal) string {
 	var s strings.Builder
--- a/internal/fleet/membership/node.go
+++ b/internal/fleet/membership/node.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"fmt"
 	"math"
 	"math/bits"
 	"math/rand/v2"
@@ -157,10 +158,16 @@
 	case Seeking:
 		n.seek.tick(n)
 	case Serving, Leaving:
+		if len(n.view.Members)-len(n.cut.ended) < n.view.majority() {
+			n.abandon()
+			return
+		}
 		n.probe()
 		n.try()
 		n.defend()
-		n.propose()
+		if n.propose(); n.view == nil { // decided, and without this life
+			return
+		}
 		n.gossip()
 		n.lookForSeeds()
 		if n.phase == Leaving && now >= n.leaveAt {
@@ -169,6 +176,13 @@
 	}
 }
 
+// abandon leaves a view that can never change again: so many of its lives have ended that no majority is left.
+// The seeds found the fleet anew, with a higher number.
+func (n *Node) abandon() {
+	n.event(Event{Kind: Out, View: n.view, Text: fmt.Sprintf("%d of %d lives of this view have ended: it can't decide any more", len(n.cut.ended), len(n.view.Members))})
+	n.reborn()
+}
+
 // stall forgives what the node slept through: whoever was silent meanwhile has not been silent for it.
 func (n *Node) stall(gap time.Duration) {
 	n.stalls++
@@ -200,7 +214,7 @@
 	same := n.view != nil && m.Number == n.view.Number
 	if m.Vote != nil && m.Root != 0 {
 		n.hearVote(m)
-		if !same && n.view != nil && m.Vote.Of+1 == n.view.Number && n.vote.last != nil && m.Number < n.view.Number {
+		if !same && n.view != nil && n.vote.last != nil && m.Vote.Of == n.vote.last.Of && m.Number < n.view.Number {
 			n.catchUp(m)
 		}
 	}
@@ -303,6 +317,7 @@
 			return
 		}
 	}
+	n.vote.last, n.vote.made = nil, nil
 	n.install(v, "")
 }
 
@@ -338,7 +353,7 @@
 				break
 			}
 		}
-		e.slot = slot(v.watchers[subject], at)
+		e.subject, e.slot = subject, slot(v.watchers[subject], at)
 		n.edges[subject] = e
 	}
 	n.cut = cut{}
@@ -378,10 +393,10 @@
 		return
 	}
 	n.phase, n.leaveAt = Leaving, now+patience
-	n.cut.leaves(n.at)
+	n.cut.leaves(n.at, false)
 	n.news.add(newsItem{leaving: true, subject: n.at}, n.copies())
 	for _, i := range n.proposers(3) {
-		n.send(n.view.Members[i].Addr, &Message{Kind: Gossip, Leaving: []uint32{n.at}})
+		n.send(n.view.Members[i].Addr, &Message{Kind: Gossip, Leaving: []Leave{{Member: n.at}}})
 	}
 }
 
--- a/internal/fleet/membership/probe.go
+++ b/internal/fleet/membership/probe.go
@@ -7,18 +7,19 @@
 
 // edge is this node's watch of one member.
 type edge struct {
-	member Member
-	slot   uint32 // which of its watchers this node is
-	begun  time.Duration
-	heard  time.Duration // the last contact; 0: none
-	round  time.Duration // when the next round of probes begins
-	tries  int           // in this round
-	next   time.Duration // when the next attempt is due
-	open   [8]sent       // attempts without an answer, the oldest overwritten
-	opens  int
-	since  int // attempts since the last contact
-	down   bool
-	seq    uint32 // of what this node says of it
+	member  Member
+	subject uint32 // its place in the view
+	slot    uint32 // which of its watchers this node is
+	begun   time.Duration
+	heard   time.Duration // the last contact; 0: none
+	round   time.Duration // when the next round of probes begins
+	tries   int           // in this round
+	next    time.Duration // when the next attempt is due
+	open    [8]sent       // attempts without an answer, the oldest overwritten
+	opens   int
+	since   int // attempts since the last contact
+	down    bool
+	seq     uint32 // of what this node says of it
 
 	rounds, lost int // rounds of probes, and those with no answer
 	loss         float64
@@ -90,7 +91,12 @@
 		n.seq++
 		e.open[e.opens%len(e.open)] = sent{n.seq, n.now}
 		e.opens++
-		n.send(e.member.Addr, &Message{Kind: Probe, Seq: n.seq})
+		m := &Message{Kind: Probe, Seq: n.seq, Alerts: n.against(e.subject)}
+		if e.down || n.isolated || n.phase == Leaving { // it may be in a view that this node is not in any more
+			self := n.self
+			m.Self = &self
+		}
+		n.send(e.member.Addr, m)
 	}
 }
 
@@ -103,6 +109,20 @@
 	}
 }
 
+// against is what is held against a member, for itself to hear: it may not have heard it from others.
+func (n *Node) against(i uint32) (all []Alert) {
+	r := n.cut.rows[i]
+	if r == nil || r.down == 0 {
+		return nil
+	}
+	for s := range uint32(len(n.view.watchers[i])) {
+		if r.down&(1<<s) != 0 {
+			all = append(all, Alert{i, s, r.seqs[s], true})
+		}
+	}
+	return all
+}
+
 // answer answers a probe, whoever sent it: the sender learns of this life and its view.
 func (n *Node) answer(m *Message) {
 	to, ok := n.addressOf(m)
@@ -110,6 +130,15 @@
 		return
 	}
 	ack := &Message{Kind: Ack, Seq: m.Seq}
+	if n.view != nil {
+		if i, in := n.view.Index(m.Life); in {
+			ack.Alerts = n.against(i)
+		}
+		n.defend()
+		if r := n.cut.rows[n.at]; r != nil && r.speaks(n.now) {
+			ack.Alive = []Alive{{n.at, r.aliveSeq}}
+		}
+	}
 	if m.Self != nil {
 		self := n.self
 		ack.Self = &self
--- a/internal/fleet/membership/settings.go
+++ b/internal/fleet/membership/settings.go
@@ -87,10 +87,12 @@
 
 // Times that follow from no setting.
 const (
-	stallAfter   = 700 * time.Millisecond // between ticks: the node stood still
-	aliveEvery   = time.Second            // an accused member speaks up so often
-	aliveFresh   = 3 * time.Second        // its word holds so long
-	steady       = 300 * time.Millisecond // no news for so long: propose
+	stallAfter   = 700 * time.Millisecond  // between ticks: the node stood still
+	aliveEvery   = time.Second             // an accused member speaks up so often
+	aliveFresh   = 3 * time.Second         // its word holds so long
+	wordFirst    = 700 * time.Millisecond  // an accused member may speak up before it is taken out
+	wordWithin   = 1500 * time.Millisecond // its word has come by then, also by way of one node
+	steady       = 300 * time.Millisecond  // no news for so long: propose
 	steadyMost   = 1500 * time.Millisecond
 	halfAfter    = 6 * time.Second // seen alive, accused by half for so long
 	ballotWait   = 700 * time.Millisecond
--- a/internal/fleet/membership/vote.go
+++ b/internal/fleet/membership/vote.go
@@ -5,10 +5,9 @@
 	"time"
 )
 
-// A ballot is a round in the upper half and, in the lower, one plus the proposer's rank. The first ballot of a
-// view is its first proposer's alone, and needs no promises: nobody can have accepted anything before.
-const firstBallot = 1
-
+// A ballot is a round in the upper half and, in the lower, one plus the proposer's rank. Every ballot begins with
+// promises, the first one too: who cannot get them from a majority puts nothing to the vote, and no minority is
+// left with something accepted that would have to be decided once the others are back.
 func ballotOf(round uint64, rank int) uint64 { return round<<32 | uint64(rank+1) }
 
 // ballots is this node's part in the decision on the next view.
@@ -18,9 +17,11 @@
 	value     uint64 // ... this
 	cur       Vote   // the latest ballot that is known; Ballot 0: none
 	begun     time.Duration
+	grown     time.Duration // when more was last heard of it
 	proposals map[uint64]*Proposal
-	rank      int   // of this node among those who propose
-	last      *Vote // what made this view, with ...
+	wish      *Proposal // what this node puts to the vote, if it is free to choose
+	rank      int       // of this node among those who propose
+	last      *Vote     // what made this view, with ...
 	made      *Proposal
 	tell      int // ... so many tellings left
 	asked     time.Duration
@@ -30,11 +31,7 @@
 const mostProposals = 32
 
 func (b *ballots) begin(v *View, at uint32) {
-	last, made := b.last, b.made
-	if last != nil && last.Of != v.Number-1 {
-		last, made = nil, nil
-	}
-	*b = ballots{proposals: map[uint64]*Proposal{}, last: last, made: made, rank: slices.Index(v.order, at)}
+	*b = ballots{proposals: map[uint64]*Proposal{}, last: b.last, made: b.made, rank: slices.Index(v.order, at)}
 }
 
 func (b *ballots) learn(p *Proposal) uint64 {
@@ -49,7 +46,7 @@
 func (n *Node) propose() {
 	v := n.view
 	out, clear := n.cut.verdict(v, n.now)
-	adds, replaced := n.ready(out)
+	adds, replaced, number := n.ready(out)
 	if len(out)+len(adds) == 0 {
 		n.cut.ripe = 0
 		n.weigh()
@@ -66,25 +63,38 @@
 		n.weigh()
 		return // it is for the others to say so
 	}
-	if !n.turn(out) {
+	if !n.carries(out) || !n.turn(out) {
 		n.weigh()
 		return
 	}
 	out = append(out, replaced...)
 	slices.Sort(out)
-	p := &Proposal{Of: v.Number, Remove: slices.Compact(out), Add: adds}
-	h := n.vote.learn(p)
+	p := &Proposal{Of: v.Number, Number: max(number, v.Number) + 1, Remove: slices.Compact(out), Add: adds}
 	b := &n.vote
-	if b.rank == 0 && b.cur.Ballot == 0 && b.promised == 0 {
-		b.open(Vote{Of: v.Number, Ballot: firstBallot, Value: h, Accepts: NewBits(len(v.Members))}, n.now)
-	} else {
-		b.open(Vote{Of: v.Number, Ballot: ballotOf(b.cur.Ballot>>32+1, b.rank), Promises: NewBits(len(v.Members))}, n.now)
-		b.proposals[0] = p // what this node would have, if it is free to choose
-	}
+	b.open(Vote{Of: v.Number, Ballot: ballotOf(b.cur.Ballot>>32+1, b.rank), Promises: NewBits(len(v.Members))}, n.now)
+	b.wish = p
 	n.weigh()
 }
 
-func (b *ballots) open(v Vote, now time.Duration) { b.cur, b.begun = v, now }
+func (b *ballots) open(v Vote, now time.Duration) { b.cur, b.begun, b.grown = v, now, now }
+
+// carries tells whether those who would decide are enough. Without that nothing is put to the vote: what a minority had
+// accepted would have to be decided once the others are back.
+func (n *Node) carries(out []uint32) bool {
+	stay := 0
+	for i := range uint32(len(n.view.Members)) {
+		if _, goes := slices.BinarySearch(out, i); !goes && !n.silent(i) {
+			stay++
+		}
+	}
+	leave := 0 // they vote as well
+	for _, i := range n.cut.left {
+		if !n.silent(i) {
+			leave++
+		}
+	}
+	return stay+leave >= n.view.majority()
+}
 
 // turn tells whether this node may open a ballot now: those before it in the order, who are not accused, come
 // first, and a ballot that is open has its time.
@@ -140,7 +150,9 @@
 	c := &b.cur
 	if x.Value == 0 {
 		if c.Value == 0 {
-			c.Promises.merge(x.Promises)
+			if c.Promises.merge(x.Promises) {
+				b.grown = n.now
+			}
 			if x.Accepted > c.Accepted {
 				c.Accepted, c.Best = x.Accepted, x.Best
 			}
@@ -148,11 +160,14 @@
 	} else {
 		if c.Value == 0 {
 			c.Value, c.Forced, c.Accepts = x.Value, x.Forced, NewBits(len(n.view.Members))
+			b.grown = n.now
 		}
 		if c.Value != x.Value {
 			return // two values in one ballot: not of this protocol
 		}
-		c.Accepts.merge(x.Accepts)
+		if c.Accepts.merge(x.Accepts) {
+			b.grown = n.now
+		}
 	}
 	if c.Value != 0 && b.proposals[c.Value] == nil && n.now-b.asked >= pullEvery {
 		if to, ok := n.addressOf(m); ok {
@@ -176,12 +191,11 @@
 			c.Accepted, c.Best = b.accepted, b.value
 		}
 	}
-	if c.Value == 0 && c.Ballot == ballotOf(c.Ballot>>32, b.rank) && c.Ballot != firstBallot && c.Promises.count() >= n.view.majority() {
+	if c.Value == 0 && c.Ballot == ballotOf(c.Ballot>>32, b.rank) && c.Promises.count() >= n.view.majority() {
 		if c.Accepted != 0 {
 			c.Value, c.Forced = c.Best, true
-		} else if p := b.proposals[0]; p != nil {
-			c.Value = p.Hash()
-			b.proposals[c.Value] = p
+		} else if b.wish != nil && n.agrees(b.wish) { // it may have been taken back since
+			c.Value = b.learn(b.wish)
 		}
 		if c.Value != 0 {
 			c.Accepts = NewBits(len(n.view.Members))
@@ -221,9 +235,28 @@
 		return // nobody can make a view of it: a later ballot brings another
 	}
 	why := n.reason(p)
-	last := n.vote.cur
+	last, old := n.vote.cur, n.view
+	if last.Ballot == ballotOf(last.Ballot>>32, n.vote.rank) { // those who asked to go are told first
+		for _, i := range n.cut.left {
+			if i != n.at && slices.Contains(p.Remove, i) {
+				m := &Message{Kind: Gossip}
+				m.Vote, m.Change = n.ballot(last, p)
+				n.send(old.Members[i].Addr, m)
+			}
+		}
+	}
 	n.vote.last, n.vote.made = &last, p
 	n.install(next, why)
+	if n.phase == Gone { // the others may not know yet
+		for range 2 * n.set.Fanout {
+			if i := uint32(n.rng.IntN(len(old.Members))); i != n.at {
+				m := &Message{Kind: Gossip}
+				m.Vote, m.Change = n.ballot(last, p)
+				n.send(old.Members[i].Addr, m)
+				m.Root, m.Number, m.Self = old.Root, old.Number, nil
+			}
+		}
+	}
 	if n.view == next {
 		n.vote.tell = n.copies()
 	}
--- a/internal/fleet/wire/wire.go
+++ b/internal/fleet/wire/wire.go
@@ -101,13 +101,21 @@
 		part = protowire.AppendVarint(part, uint64(a.Seq))
 		to = bytesField(to, fieldAlive, part)
 	}
-	to = packed(to, fieldLeaving, m.Leaving)
+	leaving := make([]uint32, 0, len(m.Leaving))
+	for _, l := range m.Leaving {
+		x := l.Member << 1
+		if l.Ended {
+			x |= 1
+		}
+		leaving = append(leaving, x)
+	}
+	to = packed(to, fieldLeaving, leaving)
 	if m.Vote != nil {
 		to = bytesField(to, fieldVote, appendVote(nil, m.Vote))
 	}
 	for i := range m.Joins {
 		part = member(part[:0], 1, &m.Joins[i].Member)
-		to = bytesField(to, fieldJoin, number(part, 2, uint64(m.Joins[i].Slot)))
+		to = bytesField(to, fieldJoin, number(number(part, 2, uint64(m.Joins[i].Slot)), 3, m.Joins[i].Number))
 	}
 	to = member(to, fieldHolder, m.Holder)
 	to = number(to, fieldLow, uint64(m.Low))
@@ -120,7 +128,7 @@
 		to = bytesField(to, fieldView, part)
 	}
 	if p := m.Change; p != nil {
-		part = packed(number(nil, 1, p.Of), 2, p.Remove)
+		part = packed(number(number(nil, 1, p.Of), 4, p.Number), 2, p.Remove)
 		for i := range p.Add {
 			part = member(part, 3, &p.Add[i])
 		}
@@ -319,7 +327,13 @@
 		}
 		m.Alive = append(m.Alive, membership.Alive{Member: x[0], Seq: x[1]})
 	case fieldLeaving:
-		m.Leaving, err = numbers(f.b, 0, len(f.b))
+		x, err := numbers(f.b, 0, len(f.b))
+		if err != nil {
+			return err
+		}
+		for _, x := range x {
+			m.Leaving = append(m.Leaving, membership.Leave{Member: x >> 1, Ended: x&1 == 1})
+		}
 	case fieldVote:
 		m.Vote, err = r.vote(f.b)
 	case fieldJoin:
@@ -336,6 +350,8 @@
 				var err error
 				c.Slot, err = small(f.x)
 				return err
+			case f.num == 3 && f.isNum:
+				c.Number = f.x
 			}
 			return nil
 		})
@@ -457,6 +473,8 @@
 		switch {
 		case f.isNum && f.num == 1:
 			p.Of = f.x
+		case f.isNum && f.num == 4:
+			p.Number = f.x
 		case !f.isNum && f.num == 2:
 			p.Remove, err = numbers(f.b, 0, len(f.b))
 		case !f.isNum && f.num == 3:
--- a/internal/rig/members/net.go
+++ b/internal/rig/members/net.go
@@ -59,6 +59,7 @@
 	Core        Core
 	Dead        bool
 	stopped     bool
+	stoppedAt   time.Duration
 	slow        time.Duration // its ticks come so late
 	life        int
 	waiting     []func() // what comes while it stands still
@@ -86,6 +87,8 @@
 	shared  map[nextKey]*membership.View
 	Wrong   []string // promises that were broken
 	Changes []Change
+	Reasons []string // of each view, once
+	Deaths  int      // of nodes that lived and could be used
 }
 
 // Change is a view that a node began.
@@ -188,7 +191,12 @@
 }
 
 // Stop has a node stand still, as SIGSTOP does: what comes waits.
-func (n *Net) Stop(i int) { n.Nodes[i].stopped = true }
+func (n *Net) Stop(i int) {
+	x := n.Nodes[i]
+	if !x.Dead && !x.stopped {
+		x.stopped, x.stoppedAt = true, n.Now
+	}
+}
 
 // Slow has each of a node's steps come so much later.
 func (n *Net) Slow(i int, by time.Duration) { n.Nodes[i].slow = by }
@@ -389,6 +397,10 @@
 		key := viewKey{e.View.Root, e.View.Number}
 		if first := n.views[key]; first == nil {
 			n.views[key] = e.View
+			n.Reasons = append(n.Reasons, fmt.Sprintf("%v view %d: %s", n.Now.Round(time.Millisecond), e.View.Number, e.Text))
+			if before := n.views[viewKey{e.View.Root, e.View.Number - 1}]; before != nil {
+				n.deaths(before, e.View)
+			}
 		} else if first.Digest != e.View.Digest {
 			n.Wrong = append(n.Wrong, fmt.Sprintf("%v: %s has another view %d than a node before it", n.Now, x.Name, e.View.Number))
 		}
@@ -413,6 +425,42 @@
 	}
 }
 
+// deaths looks whether a view lacks somebody who lives and can be used.
+func (n *Net) deaths(before, now *membership.View) {
+	for i := range before.Members {
+		m := &before.Members[i]
+		if _, still := now.Index(m.Life); still {
+			continue
+		}
+		x := n.byAddr[m.Addr]
+		if r, ok := x.Core.(*real); ok && !x.Dead && r.Self().Life == m.Life && r.Phase() != membership.Leaving && n.usable(x) {
+			n.Deaths++
+			n.Wrong = append(n.Wrong, fmt.Sprintf("%v: view %d lacks %s, which lives and can be used", n.Now, now.Number, x.Name))
+		}
+	}
+}
+
+// Bearable is how long a node may stand still and count as one that can be used.
+const Bearable = 3 * time.Second
+
+// usable tells whether a node runs, and more than half of the others can reach it and be reached.
+func (n *Net) usable(x *Node) bool {
+	if x.stopped && n.Now-x.stoppedAt > Bearable {
+		return false
+	}
+	all, good := 0, 0
+	for _, y := range n.Nodes {
+		if y.Dead || y == x {
+			continue
+		}
+		all++
+		if a, b := n.link(x, y), n.link(y, x); !a.Cut && !b.Cut && a.Loss < 0.5 && b.Loss < 0.5 {
+			good++
+		}
+	}
+	return 2*good > all
+}
+
 // View is a real node's view; nil if it has none or is dead.
 func (n *Net) View(i int) *membership.View {
 	if r, ok := n.Nodes[i].Core.(*real); ok && !n.Nodes[i].Dead {
