--- a/cmd/curlewctl/lab.go
+++ b/cmd/curlewctl/lab.go
@@ -41,6 +41,7 @@
 	Outage    time.Duration `default:"5s" help:"With --list-age: how long the Boxliste stays out."`
 	Cold      bool          `help:"With --list-age: the boxes have just started."`
 	Arm       string        `default:"doubts" enum:"doubts,trusts,waits" help:"With --list-age: what nodes make of the list; trusts and waits are controls."`
+	Members   bool          `help:"Nodes know each other; faults of the links between them: cut, lose, late, twice, damage, and stop, kill."`
 	JSON      bool          `help:"Print the report as JSON."`
 	Control   bool          `help:"Afterwards run plain forwarding on the same boxes and load, and print ratios."`
 }
@@ -95,6 +96,8 @@
 		return fmt.Errorf("--budgets does not go with --copies")
 	case c.Advice < 0 || c.Advice > time.Minute:
 		return fmt.Errorf("--advice is %v, allowed: 0s to 1m", c.Advice)
+	case c.Members && (c.Sidecars > 0 || c.Control || c.ListAge > 0 || c.StartFrom != "" || c.Nodes > 32):
+		return fmt.Errorf("--members goes with up to 32 nodes, and not with --sidecars, --control, --list-age or --start-from")
 	case c.Control && c.Tiers > 1:
 		return fmt.Errorf("--control goes with one tier")
 	}
@@ -110,7 +113,7 @@
 	}
 	o := lab.Options{
 		Plan: plan, Nodes: c.Nodes, Binary: c.Binary, Operator: c.Operator, MemoryMB: c.MemoryMB, Sockets: c.Sockets,
-		Budgets: c.Budgets, Copies: c.Copies, Advice: c.Advice,
+		Budgets: c.Budgets, Copies: c.Copies, Advice: c.Advice, Members: c.Members,
 		Traffic: standin.Traffic{Rate: c.Rate, AtOnce: c.AtOnce, For: c.For, Retries: c.Retries, Backoff: 100 * time.Millisecond, Body: 200},
 	}
 	if c.Idle > 0 {
--- a/cmd/curlewctl/main.go
+++ b/cmd/curlewctl/main.go
@@ -24,6 +24,7 @@
 	Schema  schemaCommand  `cmd:"" help:"Print the JSON schema of a description, for editors."`
 	Lab     labCommand     `cmd:"" help:"Run nodes before a stand-in fleet, and judge them."`
 	Recall  recallCommand  `cmd:"" help:"Look into what a node keeps over its restarts."`
+	Members membersCommand `cmd:"" help:"Show what a node knows of the others. Exit code 0, 1 if a member is silent or the node is in no view, 2 if it does not answer."`
 	Idlers  idlersCommand  `cmd:"" hidden:"" help:"Hold idle connections for the lab."`
 	Forward forwardCommand `cmd:"" hidden:"" help:"Forward plainly: the lab's control."`
 }
--- /dev/null
+++ b/internal/fleet/membership/status.go
@@ -0,0 +1,84 @@
+package membership
+
+import "time"
+
+// Standing is what a node knows of all, for operators.
+type Standing struct {
+	Self     Member
+	Phase    Phase
+	Root     uint64
+	Number   uint64
+	Majority int           // votes that decide
+	Speaking int           // members not taken to be silent
+	Isolated bool          // this node hears none of those that it watches
+	Stalls   int           // times that it stood still
+	Stalled  time.Duration // the last of these, ago; 0: never
+	Ballot   bool          // a change is being voted on
+	Members  []Seen
+	Gone     []Removed // of late, for their silence
+	Stats    Stats
+}
+
+// Seen is a member as a node sees it.
+type Seen struct {
+	Member
+	Watched   bool // by this node; what follows holds then
+	Reachable bool
+	Heard     time.Duration // the last contact, ago; 0: none yet
+	RTT       time.Duration
+	Loss      float64  // of late, of rounds of probes
+	Accusers  []string // who has no contact with it
+	Watchers  int
+	Speaks    bool // it has lately said that it lives
+	Leaving   bool
+}
+
+// Removed is a name that was taken out.
+type Removed struct {
+	Name  string
+	Ago   time.Duration
+	Times int
+	Wait  time.Duration // before it is let in again
+}
+
+// Standing tells what the node knows.
+func (n *Node) Standing(now time.Duration) Standing {
+	s := Standing{
+		Self: n.self, Phase: n.phase, Isolated: n.isolated, Stalls: n.stalls, Stats: n.stats, Number: n.seek.number,
+		Ballot: n.vote.cur.Ballot != 0 && now-n.vote.grown < ballotLong,
+	}
+	if n.stalls > 0 {
+		s.Stalled = now - n.stalled
+	}
+	for name, r := range n.removed {
+		s.Gone = append(s.Gone, Removed{name, now - r.at, r.times, max(0, r.until-now)})
+	}
+	if n.view == nil {
+		return s
+	}
+	s.Root, s.Number, s.Majority = n.view.Root, n.view.Number, n.view.majority()
+	for i := range n.view.Members {
+		at := uint32(i)
+		m := Seen{Member: n.view.Members[i], Watchers: len(n.view.watchers[i])}
+		if e := n.edges[at]; e != nil {
+			m.Watched, m.Reachable, m.RTT, m.Loss = true, !e.down, e.rtt, e.loss
+			if e.heard > 0 {
+				m.Heard = now - e.heard
+			}
+		}
+		if r := n.cut.rows[at]; r != nil {
+			for _, a := range n.against(at) {
+				m.Accusers = append(m.Accusers, n.view.Members[n.view.watchers[i][a.Slot]].Name)
+			}
+			m.Speaks = r.speaks(now)
+		}
+		for _, l := range n.cut.left {
+			m.Leaving = m.Leaving || l == at
+		}
+		if !n.silent(at) {
+			s.Speaking++
+		}
+		s.Members = append(s.Members, m)
+	}
+	return s
+}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -12,6 +12,7 @@
 	"reflect"
 
 	"curlewring/decide"
+	"curlewring/internal/node/members"
 	"curlewring/internal/operators/routes"
 	"curlewring/internal/operators/settings"
 	"curlewring/internal/servers/endpoints"
@@ -34,11 +35,12 @@
 	Classes   []string
 	Tenants   []string
 	Settings  decide.Settings
-	Budgets   bool          // requests share a budget of further attempts with other tiers
-	State     State         // what it keeps over restarts
-	Sidecar   *Sidecar      // the one application that it serves; nil: it serves many clients
-	Routes    *routes.Table // the operators' timing rules; nil: none
-	operator  *operator     // what Routes came from
+	Budgets   bool              // requests share a budget of further attempts with other tiers
+	State     State             // what it keeps over restarts
+	Members   *members.Settings // how it takes part in the membership of the nodes; nil: not at all
+	Sidecar   *Sidecar          // the one application that it serves; nil: it serves many clients
+	Routes    *routes.Table     // the operators' timing rules; nil: none
+	operator  *operator         // what Routes came from
 }
 
 // Sidecar is what a node is told of the application that it stands beside.
--- /dev/null
+++ b/internal/node/members/control.go
@@ -0,0 +1,114 @@
+package members
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"curlewring/internal/fleet/membership"
+)
+
+// Report is what a node answers an operator.
+type Report struct {
+	Fleet    string
+	Standing membership.Standing
+	Sent     int64 // datagrams
+	Bytes    int64
+	Received int64
+	Dropped  int64
+	Passed   int64 // over: noise, damage, other fleets and versions
+}
+
+// listenControl binds the operators' socket. One that a life before left is replaced; one that a process
+// answers on is not.
+func listenControl(path string) (net.Listener, error) {
+	if c, err := net.DialTimeout("unix", path, controlWait); err == nil {
+		c.Close()
+		return nil, fmt.Errorf("another process answers on %s", path)
+	}
+	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, err
+	}
+	l, err := net.Listen("unix", path)
+	if err != nil {
+		return nil, err
+	}
+	if err := os.Chmod(path, 0o600); err != nil {
+		l.Close()
+		return nil, err
+	}
+	return l, nil
+}
+
+// control answers operators: whoever connects gets the report, and the end.
+func (m *Members) control(ctx context.Context) {
+	var parts sync.WaitGroup
+	defer parts.Wait()
+	places := make(chan struct{}, 4)
+	for {
+		c, err := m.ctl.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(round):
+			}
+			continue
+		}
+		select {
+		case places <- struct{}{}:
+		default:
+			c.Close()
+			continue
+		}
+		parts.Go(func() {
+			defer func() { <-places }()
+			defer c.Close()
+			c.SetDeadline(time.Now().Add(controlWait))
+			r, err := m.Report(ctx)
+			if err != nil {
+				return
+			}
+			json.NewEncoder(c).Encode(r)
+		})
+	}
+}
+
+// Report asks the node what it knows.
+func (m *Members) Report(ctx context.Context) (Report, error) {
+	r := Report{
+		Fleet: m.set.Fleet, Sent: m.counts.Datagrams.Load(), Bytes: m.counts.Bytes.Load(),
+		Received: m.counts.Received.Load(), Dropped: m.counts.Dropped.Load(),
+		Passed: m.counts.Noise.Load() + m.counts.Damaged.Load() + m.counts.OtherFleet.Load() + m.counts.Other.Load(),
+	}
+	err := m.call(ctx, func(n *membership.Node, now time.Duration) { r.Standing = n.Standing(now) })
+	return r, err
+}
+
+// mostReport bounds a node's answer.
+const mostReport = 16 << 20
+
+// Ask asks the node that keeps its state in a folder.
+func Ask(ctx context.Context, folder string) (Report, error) {
+	var r Report
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "unix", SocketIn(folder))
+	if err != nil {
+		return r, fmt.Errorf("no node answers in %s, or its settings have no [members]: %w", folder, err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(2 * controlWait))
+	if err := json.NewDecoder(io.LimitReader(c, mostReport)).Decode(&r); err != nil {
+		return r, fmt.Errorf("the node's answer: %w", err)
+	}
+	return r, nil
+}
--- /dev/null
+++ b/internal/node/members/members.go
@@ -0,0 +1,267 @@
+package members
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"curlewring/internal/fleet/membership"
+	"curlewring/internal/fleet/wire"
+	"curlewring/internal/node/clock"
+)
+
+// Settings say where a node's membership listens and whom it seeks.
+type Settings struct {
+	Fleet     string // nodes of another are not heard
+	Name      string
+	Site      string
+	Listen    netip.AddrPort // UDP and TCP
+	Advertise netip.AddrPort // what others send to; Listen, if it is not set
+	Seeds     []netip.AddrPort
+	// Via says where to send in the place of an address: as members are seen from here.
+	Via    map[netip.AddrPort]netip.AddrPort
+	Folder string // for what outlives a restart, and the operators' socket; "": neither
+}
+
+const (
+	round       = 100 * time.Millisecond
+	watchers    = 10
+	inbox       = 512 // messages that wait for the goroutine
+	mostStreams = 8   // at once, in each direction
+	streamWait  = 3 * time.Second
+)
+
+// Members is one node's part in the membership of its fleet.
+type Members struct {
+	set   Settings
+	fleet uint32
+	log   *slog.Logger
+	clock clock.Clock
+	udp   *net.UDPConn
+	tcp   *net.TCPListener
+	keep  *keep        // nil: nothing is kept
+	ctl   net.Listener // nil: nobody asks
+
+	in      chan *membership.Message
+	calls   chan func(*membership.Node, time.Duration)
+	ended   chan struct{}
+	streams chan struct{} // a place for each that goes out
+	view    atomic.Pointer[membership.View]
+	counts  Counts
+}
+
+// Counts is what passed the sockets.
+type Counts struct {
+	Datagrams, Bytes, Streams         atomic.Int64 // sent
+	Received, Dropped                 atomic.Int64 // datagrams; of them, those that no longer fitted
+	Noise, Damaged, OtherFleet, Other atomic.Int64 // passed over: no message, checksum, fleet, version
+}
+
+// Open binds the addresses and reads what was kept.
+func Open(set Settings, c clock.Clock, log *slog.Logger) (_ *Members, err error) {
+	m := &Members{
+		set: set, fleet: wire.Fleet(set.Fleet), log: log, clock: c,
+		in: make(chan *membership.Message, inbox), calls: make(chan func(*membership.Node, time.Duration)),
+		ended: make(chan struct{}), streams: make(chan struct{}, mostStreams),
+	}
+	defer func() {
+		if err != nil {
+			m.close()
+		}
+	}()
+	if m.udp, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(set.Listen)); err != nil {
+		return nil, fmt.Errorf("members: %w", err)
+	}
+	at := m.udp.LocalAddr().(*net.UDPAddr).AddrPort()
+	if m.tcp, err = net.ListenTCP("tcp", net.TCPAddrFromAddrPort(at)); err != nil {
+		return nil, fmt.Errorf("members: %w", err)
+	}
+	if !m.set.Advertise.IsValid() {
+		m.set.Advertise = at
+	}
+	if set.Folder == "" {
+		return m, nil
+	}
+	if m.keep, err = openKeep(filepath.Join(set.Folder, "members"), c, log); err != nil {
+		return nil, fmt.Errorf("members: %w", err)
+	}
+	if m.ctl, err = listenControl(SocketIn(set.Folder)); err != nil {
+		return nil, fmt.Errorf("members: %w", err)
+	}
+	return m, nil
+}
+
+// SocketIn is where operators ask a node that keeps its state in a folder.
+func SocketIn(folder string) string { return filepath.Join(folder, "members.sock") }
+
+func (m *Members) close() {
+	if m.udp != nil {
+		m.udp.Close()
+	}
+	if m.tcp != nil {
+		m.tcp.Close()
+	}
+	if m.ctl != nil {
+		m.ctl.Close()
+	}
+	if m.keep != nil {
+		m.keep.close()
+	}
+}
+
+// Address is where the others send to.
+func (m *Members) Address() netip.AddrPort { return m.set.Advertise }
+
+// View is the present view; nil while the node is in none. Any goroutine may call it.
+func (m *Members) View() *membership.View { return m.view.Load() }
+
+// Run takes part until the context ends.
+func (m *Members) Run(ctx context.Context) {
+	ctx, stop := context.WithCancel(ctx)
+	var parts sync.WaitGroup
+	defer close(m.ended)
+	defer parts.Wait()
+	defer m.close()
+	defer stop()
+	parts.Go(m.readDatagrams)
+	parts.Go(func() { m.accept(ctx) })
+	if m.ctl != nil {
+		parts.Go(func() { m.control(ctx) })
+	}
+	set := membership.Settings{
+		Self:  membership.Member{Name: m.set.Name, Site: m.set.Site, Addr: m.set.Advertise},
+		Seeds: m.set.Seeds, Round: round, Watchers: watchers,
+	}
+	if m.keep != nil {
+		k := m.keep.last()
+		set.Incarnation, set.Number, set.Known = k.Incarnation, k.Number, k.Known
+		parts.Go(func() { m.keep.run(ctx) })
+	}
+	n := membership.New(set, rand.Uint64(), m.clock.Now())
+	m.carry(ctx, n, &parts)
+	tick := time.NewTicker(round)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			n.Tick(m.clock.Now())
+		case x := <-m.in:
+			n.Receive(m.clock.Now(), x)
+		case do := <-m.calls:
+			do(n, m.clock.Now())
+		}
+		m.carry(ctx, n, &parts)
+	}
+}
+
+// call runs something on the goroutine that owns the node.
+func (m *Members) call(ctx context.Context, do func(*membership.Node, time.Duration)) error {
+	done := make(chan struct{})
+	select {
+	case m.calls <- func(n *membership.Node, now time.Duration) { do(n, now); close(done) }:
+	case <-m.ended:
+		return errors.New("the membership has ended")
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	<-done
+	return nil
+}
+
+// Leave tells the others that the node goes, and waits until they let it, or so long.
+func (m *Members) Leave(patience time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	if m.call(ctx, func(n *membership.Node, now time.Duration) { n.Leave(now, patience) }) != nil {
+		return
+	}
+	look := time.NewTicker(round / 4)
+	defer look.Stop()
+	for gone := false; !gone; {
+		select {
+		case <-look.C:
+		case <-ctx.Done():
+			return
+		}
+		if m.call(ctx, func(n *membership.Node, _ time.Duration) { gone = n.Phase() == membership.Gone }) != nil {
+			return
+		}
+	}
+}
+
+// carry sends what the node wants sent, and tells what happened.
+func (m *Members) carry(ctx context.Context, n *membership.Node, parts *sync.WaitGroup) {
+	sends, events := n.Take()
+	var buf []byte
+	for _, s := range sends {
+		to := s.To
+		if via, ok := m.set.Via[to]; ok {
+			to = via
+		}
+		buf = wire.Append(buf[:0], m.fleet, s.Message)
+		if !s.Stream && len(buf) <= wire.MostDatagram {
+			if _, err := m.udp.WriteToUDPAddrPort(buf, to); err == nil {
+				m.counts.Datagrams.Add(1)
+				m.counts.Bytes.Add(int64(len(buf)))
+			}
+			continue
+		}
+		select {
+		case m.streams <- struct{}{}:
+		default:
+			continue // it is asked for again
+		}
+		b := append([]byte(nil), buf...)
+		parts.Go(func() {
+			defer func() { <-m.streams }()
+			m.stream(ctx, to, b)
+		})
+	}
+	for _, e := range events {
+		m.note(n, e)
+	}
+}
+
+// note logs an event, and keeps what is to outlive a restart.
+func (m *Members) note(n *membership.Node, e membership.Event) {
+	switch e.Kind {
+	case membership.Changed:
+		m.log.Info("the members have changed", "view", e.View.Number, "members", len(e.View.Members), "why", e.Text)
+	case membership.Founded:
+		m.log.Info("this node founds the fleet", "fleet", m.set.Fleet, "view", e.View.Number)
+	case membership.Out:
+		m.log.Warn("this life is not among the members any more; a new one begins", "view", e.View.Number, "why", e.Text)
+	case membership.Accused:
+		m.log.Warn("a member", "name", e.Member.Name, "address", e.Member.Addr.String(), "what", e.Text)
+	case membership.Conflict:
+		m.log.Error("another process has this node's name and was first; this one stays out", "name", e.Member.Name, "address", e.Member.Addr.String())
+	case membership.Stalled:
+		m.log.Warn("this node stood still", "for", e.Text)
+	case membership.Foreign:
+		m.log.Warn("another fleet of this name holds; this node joins it", "why", e.Text)
+	case membership.Left:
+		m.log.Info("the others have let this node go")
+	}
+	m.view.Store(n.View())
+	if m.keep == nil {
+		return
+	}
+	k := kept{Incarnation: n.Self().Incarnation}
+	if v := n.View(); v != nil {
+		k.Number = v.Number
+		for i := range min(mostKnown, len(v.Members)) {
+			k.Known = append(k.Known, v.Members[i*len(v.Members)/min(mostKnown, len(v.Members))].Addr)
+		}
+	}
+	m.keep.set(k)
+}
--- /dev/null
+++ b/internal/node/members/sockets.go
@@ -0,0 +1,116 @@
+package members
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"curlewring/internal/fleet/wire"
+)
+
+// readDatagrams hands over what comes by UDP, until the socket is closed.
+func (m *Members) readDatagrams() {
+	b := make([]byte, wire.MostDatagram+1)
+	for {
+		size, _, err := m.udp.ReadFromUDPAddrPort(b)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // a port that nobody has any more answers to what was sent there
+		}
+		m.counts.Received.Add(1)
+		if size > wire.MostDatagram {
+			m.counts.Noise.Add(1)
+			continue
+		}
+		m.take(b[:size])
+	}
+}
+
+// take reads a message, and hands it over if there is room.
+func (m *Members) take(b []byte) {
+	x, err := wire.Parse(b, m.fleet, watchers)
+	var bad *wire.Error
+	if errors.As(err, &bad) {
+		switch bad.Fault {
+		case wire.Damaged:
+			m.counts.Damaged.Add(1)
+		case wire.OtherFleet:
+			m.counts.OtherFleet.Add(1)
+		case wire.OtherVersion:
+			m.counts.Other.Add(1)
+		default:
+			m.counts.Noise.Add(1)
+		}
+		return
+	}
+	select {
+	case m.in <- x:
+	default:
+		m.counts.Dropped.Add(1)
+	}
+}
+
+// accept takes long messages by TCP: one a connection, a few connections at once.
+func (m *Members) accept(ctx context.Context) {
+	var parts sync.WaitGroup
+	defer parts.Wait()
+	places := make(chan struct{}, mostStreams)
+	for {
+		c, err := m.tcp.AcceptTCP()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			select { // short of descriptors, most likely
+			case <-ctx.Done():
+				return
+			case <-time.After(round):
+			}
+			continue
+		}
+		select {
+		case places <- struct{}{}:
+		default:
+			c.Close()
+			m.counts.Dropped.Add(1)
+			continue
+		}
+		parts.Go(func() {
+			defer func() { <-places }()
+			defer c.Close()
+			stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+			defer stop()
+			c.SetDeadline(time.Now().Add(streamWait))
+			b, err := io.ReadAll(io.LimitReader(c, wire.MostStream+1))
+			if err != nil || len(b) > wire.MostStream {
+				m.counts.Noise.Add(1)
+				return
+			}
+			m.take(b)
+		})
+	}
+}
+
+// stream sends one long message.
+func (m *Members) stream(ctx context.Context, to netip.AddrPort, b []byte) {
+	ctx, cancel := context.WithTimeout(ctx, streamWait)
+	defer cancel()
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", to.String())
+	if err != nil {
+		return // it is asked for again
+	}
+	defer c.Close()
+	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if _, err := c.Write(b); err == nil {
+		m.counts.Streams.Add(1)
+		m.counts.Bytes.Add(int64(len(b)))
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"curlewring/internal/node/discovery"
 	"curlewring/internal/node/front"
 	"curlewring/internal/node/keeper"
+	"curlewring/internal/node/members"
 	"curlewring/internal/node/upstream"
 	"curlewring/internal/node/worker"
 	"curlewring/internal/sched/background"
@@ -54,7 +55,8 @@
 	callers  *callers
 	front    *front.Server
 	worker   *worker.Worker
-	keeper   *keeper.Keeper // nil: nothing is kept over restarts
+	keeper   *keeper.Keeper   // nil: nothing is kept over restarts
+	members  *members.Members // nil: this node knows nothing of the others
 	address  net.Addr
 	jobs     jobs
 	stop     context.CancelFunc // ends the loop, its attempts and discovery
@@ -130,6 +132,12 @@
 	if n.loop.budgets != nil {
 		n.jobs.attempts = n.worker.Add("forgetting old attempts of budgets", background.Tidy, n.loop.step(n.loop.forgetOld))
 	}
+	if c.Members != nil {
+		if n.members, err = members.Open(*c.Members, n.clock, log); err != nil {
+			l.Close()
+			return nil, err
+		}
+	}
 	n.remember()
 	sweeps := 0
 	n.loop.tidy = func() {
@@ -169,6 +177,9 @@
 	k.OnWork(n.jobs.keep.Wake)
 }
 
+// leavePatience is how long the node's end waits for the other members' word.
+const leavePatience = 2 * time.Second
+
 // keeperPatience is how long the node's end waits for the disk.
 const keeperPatience = 500 * time.Millisecond
 
@@ -258,6 +269,9 @@
 	parts.Go(func() { n.loop.discovery.RunFetches(inner) })
 
 	parts.Go(func() { n.worker.Run(inner) })
+	if n.members != nil {
+		parts.Go(func() { n.members.Run(inner) })
+	}
 	broke := make(chan struct{})
 	parts.Go(func() {
 		defer close(broke)
@@ -279,6 +293,11 @@
 	begun := n.clock.Now()
 	n.log.Info("ending")
 	n.callers.leaving.Store(true)
+	if n.members != nil { // the others need not find out by themselves
+		var parts sync.WaitGroup
+		defer parts.Wait()
+		parts.Go(func() { n.members.Leave(leavePatience) })
+	}
 	longest := time.Duration(0)
 	for _, c := range n.config.Settings.Classes {
 		longest = max(longest, c.Deadline)
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -44,7 +44,12 @@
 func (f Files) Read() (*Config, error) {
 	c, err := ReadConfig(f.Config)
 	if err == nil && f.Own != "" {
-		c.State, err = readOwn(f.Own)
+		var own Own
+		own, err = readOwn(f.Own)
+		c.State, c.Members = own.State, own.Members
+		if c.Members != nil {
+			c.Members.Name, c.Members.Site = c.Name, c.Settings.Zone
+		}
 	}
 	if err != nil || f.Operator == "" {
 		return c, err
--- a/internal/node/own.go
+++ b/internal/node/own.go
@@ -7,10 +7,17 @@
 	"path/filepath"
 	"strings"
 
+	"curlewring/internal/node/members"
 	"curlewring/internal/operators/document"
 	"curlewring/internal/store"
 )
 
+// Own is a node's own settings.
+type Own struct {
+	State   State
+	Members *members.Settings // nil: this node knows nothing of the others
+}
+
 // State says what a node keeps over its restarts.
 type State struct {
 	Folder string   // "": nothing
@@ -23,60 +30,81 @@
 )
 
 // readOwn reads the node's own settings. The error names file, line, key, value and bound of each fault.
-func readOwn(path string) (State, error) {
+func readOwn(path string) (Own, error) {
 	text, err := readBounded(path, document.MostBytes)
 	if err != nil {
-		return State{}, fmt.Errorf("the node's own settings: %w", err)
+		return Own{}, fmt.Errorf("the node's own settings: %w", err)
 	}
 	s, faults := parseOwn(text)
 	if len(faults) > 0 {
-		return State{}, errors.New(path + ":" + strings.Join(faults, "; "+path+":"))
+		return Own{}, errors.New(path + ":" + strings.Join(faults, "; "+path+":"))
 	}
 	return s, nil
 }
 
+// ownReader reads the tables of a node's own settings.
+type ownReader struct{ faults []string }
+
+func (r *ownReader) fault(v document.Value, key, format string, args ...any) {
+	r.faults = append(r.faults, fmt.Sprintf("%d: %s = %s: ", v.Line, key, v.Text)+fmt.Sprintf(format, args...))
+}
+
+func (r *ownReader) missing(v document.Value, key string) {
+	r.faults = append(r.faults, fmt.Sprintf("%d: %s: it is missing", max(1, v.Line), key))
+}
+
 // parseOwn reads them from the text. Faults begin with their line.
-func parseOwn(text []byte) (s State, faults []string) {
+func parseOwn(text []byte) (Own, []string) {
 	top, wrong := document.Parse(text)
+	r := &ownReader{}
 	for _, f := range wrong {
-		faults = append(faults, fmt.Sprintf("%d: %s: %s", f.Line, cmp.Or(f.Key, "form"), f.Text))
-	}
-	fault := func(v document.Value, key, format string, args ...any) {
-		faults = append(faults, fmt.Sprintf("%d: %s = %s: ", v.Line, key, v.Text)+fmt.Sprintf(format, args...))
+		r.faults = append(r.faults, fmt.Sprintf("%d: %s: %s", f.Line, cmp.Or(f.Key, "form"), f.Text))
 	}
+	var own Own
 	for _, key := range top.Order {
 		v := top.Keys[key]
 		t, ok := v.V.(*document.Table)
-		if key != "state" || !ok {
-			fault(v, key, "there is only a table [state]")
-			continue
+		switch {
+		case ok && key == "state":
+			own.State = r.state(v, t)
+		case ok && key == "members":
+			own.Members = r.members(v, t)
+		default:
+			r.fault(v, key, "there are only the tables [state] and [members]")
 		}
-		s.MostMB = usualStateMB
-		for _, key := range t.Order {
-			v := t.Keys[key]
-			switch key {
-			case "folder":
-				folder, ok := v.V.(string)
-				if !ok || !filepath.IsAbs(folder) || strings.ContainsRune(folder, 0) {
-					fault(v, "state.folder", "want an absolute path as text")
-				}
-				s.Folder = folder
-			case "most_mb":
-				n, ok := v.V.(int64)
-				if !ok || n < leastStateMB || n > mostStateMB {
-					fault(v, "state.most_mb", "want a whole number from %d to %d", leastStateMB, mostStateMB)
-				}
-				s.MostMB = int(n)
-			default:
-				fault(v, "state."+key, "there are folder and most_mb")
+	}
+	if len(r.faults) > 0 {
+		return Own{}, r.faults
+	}
+	if own.Members != nil {
+		own.Members.Folder = own.State.Folder
+	}
+	return own, nil
+}
+
+func (r *ownReader) state(v document.Value, t *document.Table) State {
+	s := State{MostMB: usualStateMB}
+	for _, key := range t.Order {
+		v := t.Keys[key]
+		switch key {
+		case "folder":
+			folder, ok := v.V.(string)
+			if !ok || !filepath.IsAbs(folder) || strings.ContainsRune(folder, 0) {
+				r.fault(v, "state.folder", "want an absolute path as text")
 			}
-		}
-		if _, ok := t.Keys["folder"]; !ok {
-			faults = append(faults, fmt.Sprintf("%d: state.folder: it is missing", max(1, v.Line)))
+			s.Folder = folder
+		case "most_mb":
+			n, ok := v.V.(int64)
+			if !ok || n < leastStateMB || n > mostStateMB {
+				r.fault(v, "state.most_mb", "want a whole number from %d to %d", leastStateMB, mostStateMB)
+			}
+			s.MostMB = int(n)
+		default:
+			r.fault(v, "state."+key, "there are folder and most_mb")
 		}
 	}
-	if len(faults) > 0 {
-		return State{}, faults
+	if _, ok := t.Keys["folder"]; !ok {
+		r.missing(v, "state.folder")
 	}
-	return s, nil
+	return s
 }
--- /dev/null
+++ b/internal/node/ownmembers.go
@@ -0,0 +1,102 @@
+package node
+
+import (
+	"net/netip"
+	"strings"
+
+	"curlewring/internal/node/members"
+	"curlewring/internal/operators/document"
+)
+
+const mostSeeds, mostVia, mostFleetName = 16, 1000, 64
+
+// members reads how a node takes part in the membership of its fleet.
+func (r *ownReader) members(v document.Value, t *document.Table) *members.Settings {
+	s := &members.Settings{}
+	for _, key := range t.Order {
+		v := t.Keys[key]
+		name := "members." + key
+		switch key {
+		case "fleet":
+			fleet, ok := v.V.(string)
+			if !ok || fleet == "" || len(fleet) > mostFleetName {
+				r.fault(v, name, "want a text of 1 to %d bytes", mostFleetName)
+			}
+			s.Fleet = fleet
+		case "listen":
+			s.Listen = r.address(v, name, true)
+		case "advertise":
+			s.Advertise = r.address(v, name, false)
+		case "seeds":
+			s.Seeds = r.seeds(v, name)
+		case "via":
+			s.Via = r.via(v, name)
+		default:
+			r.fault(v, name, "there are fleet, listen, advertise, seeds and via")
+		}
+	}
+	for _, key := range []string{"fleet", "listen"} {
+		if _, ok := t.Keys[key]; !ok {
+			r.missing(v, "members."+key)
+		}
+	}
+	if s.Listen.IsValid() && s.Listen.Addr().IsUnspecified() && !s.Advertise.IsValid() {
+		r.fault(t.Keys["listen"], "members.listen", "with no address of its own, advertise must say where others send to")
+	}
+	return s
+}
+
+// address reads an address with its port. One that listens may leave the host out: it is loopback then, as what comes
+// is not authenticated.
+func (r *ownReader) address(v document.Value, key string, listens bool) netip.AddrPort {
+	text, ok := v.V.(string)
+	if listens && strings.HasPrefix(text, ":") {
+		text = "127.0.0.1" + text
+	}
+	at, err := netip.ParseAddrPort(text)
+	switch {
+	case !ok || err != nil:
+		r.fault(v, key, "want an address and a port as text, such as \"127.0.0.1:7946\"")
+	case at.Port() == 0 && !listens:
+		r.fault(v, key, "want a port from 1 to 65535")
+	case at.Addr().IsUnspecified() && !listens:
+		r.fault(v, key, "nobody can send to an address that is none")
+	}
+	return at
+}
+
+func (r *ownReader) seeds(v document.Value, key string) (seeds []netip.AddrPort) {
+	all, ok := v.V.([]document.Value)
+	if !ok || len(all) == 0 || len(all) > mostSeeds {
+		r.fault(v, key, "want a list of 1 to %d addresses", mostSeeds)
+		return nil
+	}
+	had := map[netip.AddrPort]bool{}
+	for _, one := range all {
+		at := r.address(one, key, false)
+		if had[at] && at.IsValid() {
+			r.fault(one, key, "it stands there twice")
+		}
+		had[at] = true
+		seeds = append(seeds, at)
+	}
+	return seeds
+}
+
+func (r *ownReader) via(v document.Value, key string) map[netip.AddrPort]netip.AddrPort {
+	t, ok := v.V.(*document.Table)
+	if !ok || len(t.Order) > mostVia {
+		r.fault(v, key, "want a table of at most %d addresses", mostVia)
+		return nil
+	}
+	via := map[netip.AddrPort]netip.AddrPort{}
+	for _, from := range t.Order {
+		one := t.Keys[from]
+		at, err := netip.ParseAddrPort(from)
+		if err != nil || at.Port() == 0 {
+			r.fault(one, key+"."+from, "the key is no address with its port")
+		}
+		via[at] = r.address(one, key+"."+from, false)
+	}
+	return via
+}
--- /dev/null
+++ b/internal/rig/lab/between.go
@@ -0,0 +1,225 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"curlewring/internal/node/members"
+	"curlewring/internal/rig/relay"
+	"curlewring/internal/rig/standin"
+)
+
+// between is what stands between the nodes: a relay for each ordered pair.
+type between struct {
+	addresses []netip.AddrPort
+	relays    map[[2]int]*relay.Relay // from, to
+	faults    []*standin.Fault        // that are on
+}
+
+// mostLinked bounds the nodes that know each other: each pair takes four sockets and as many goroutines.
+const mostLinked = 32
+
+func newBetween(nodes int, host string, seed uint64) (_ *between, err error) {
+	if nodes > mostLinked {
+		return nil, fmt.Errorf("%d nodes with members, at most %d", nodes, mostLinked)
+	}
+	b := &between{relays: map[[2]int]*relay.Relay{}}
+	defer func() {
+		if err != nil {
+			b.close()
+		}
+	}()
+	for range nodes {
+		at, err := freePort(host)
+		if err != nil {
+			return nil, err
+		}
+		b.addresses = append(b.addresses, at)
+	}
+	for from := range nodes {
+		for to := range nodes {
+			if from == to {
+				continue
+			}
+			r, err := relay.New(b.addresses[to], seed<<16+uint64(from*nodes+to))
+			if err != nil {
+				return nil, err
+			}
+			b.relays[[2]int{from, to}] = r
+		}
+	}
+	return b, nil
+}
+
+// freePort finds a port that is free for both datagrams and streams. It is below those that the system hands out, so
+// that none of the sockets made meanwhile takes it.
+func freePort(host string) (netip.AddrPort, error) {
+	ip, err := netip.ParseAddr(host)
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	for try := 0; ; try++ {
+		at := netip.AddrPortFrom(ip, uint16(10_000+rand.IntN(20_000)))
+		udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
+		if err == nil {
+			var tcp net.Listener
+			tcp, err = net.Listen("tcp", at.String())
+			udp.Close()
+			if err == nil {
+				return at, tcp.Close()
+			}
+		}
+		if try == 50 {
+			return netip.AddrPort{}, err
+		}
+	}
+}
+
+func (b *between) close() {
+	if b == nil {
+		return
+	}
+	for _, r := range b.relays {
+		r.Close()
+	}
+}
+
+// write writes a node's own settings: the first three are the seeds, and each other one is reached by its relay.
+func (b *between) write(node int, path, folder string) error {
+	var s strings.Builder
+	fmt.Fprintf(&s, "[state]\nfolder = %q\n\n[members]\nfleet = \"lab\"\nlisten = %q\nseeds = [", folder, b.addresses[node].String())
+	for i := range min(3, len(b.addresses)) {
+		if i > 0 {
+			s.WriteString(", ")
+		}
+		fmt.Fprintf(&s, "%q", b.addresses[i].String())
+	}
+	s.WriteString("]\n\n[members.via]\n")
+	for to, at := range b.addresses {
+		if to != node {
+			fmt.Fprintf(&s, "%q = %q\n", at.String(), b.relays[[2]int{node, to}].Address.String())
+		}
+	}
+	return os.WriteFile(path, []byte(s.String()), 0o600)
+}
+
+func (b *between) index(name string) (int, error) {
+	i, err := strconv.Atoi(strings.TrimPrefix(name, "n"))
+	if err != nil || i < 0 || i >= len(b.addresses) {
+		return 0, fmt.Errorf("no node %q; there are 0 to %d", name, len(b.addresses)-1)
+	}
+	return i, nil
+}
+
+// apply brings every relay to what the faults that are on say together.
+func (b *between) apply() {
+	for pair, r := range b.relays {
+		var w relay.Weather
+		for _, f := range b.faults {
+			if !b.is(f.From, pair[0]) || !b.is(f.To, pair[1]) {
+				continue
+			}
+			switch f.Kind {
+			case "cut":
+				w.Cut = true
+			case "lose":
+				w.Loss = 1 - (1-w.Loss)*(1-f.By)
+			case "late":
+				w.Delay += time.Duration(f.By * float64(time.Second))
+			case "twice":
+				w.Twice = max(w.Twice, f.By)
+			case "damage":
+				w.Damage = max(w.Damage, f.By)
+			}
+		}
+		r.Set(w)
+	}
+}
+
+func (b *between) is(name string, i int) bool {
+	at, err := b.index(name)
+	return name == "" || err == nil && at == i
+}
+
+// Link makes or ends a fault of the links between nodes.
+func (l *Lab) Link(f *standin.Fault, on bool) error {
+	if l.between == nil {
+		return errors.New("nodes have links between them with members alone")
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.between
+	if on {
+		b.faults = append(b.faults, f)
+	} else {
+		for i, x := range b.faults {
+			if x == f {
+				b.faults = append(b.faults[:i:i], b.faults[i+1:]...)
+				break
+			}
+		}
+	}
+	b.apply()
+	return nil
+}
+
+// Weather sets what happens between all nodes by a rule of one's own, in the place of faults.
+func (l *Lab) Weather(rule func(from, to int) relay.Weather) {
+	for pair, r := range l.between.relays {
+		r.Set(rule(pair[0], pair[1]))
+	}
+}
+
+// Stop has a node stand still.
+func (l *Lab) Stop(name string) error {
+	p, err := l.find(name)
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	l.stopped[p.name] = l.Fleet.Clock.Now()
+	l.mu.Unlock()
+	return l.to(name, syscall.SIGSTOP)
+}
+
+// Cont lets it go on.
+func (l *Lab) Cont(name string) error {
+	p, err := l.find(name)
+	if err != nil {
+		return err
+	}
+	err = l.to(name, syscall.SIGCONT)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Fleet.Judge.Stood(l.stopped[p.name], l.Fleet.Clock.Now(), p.name)
+	return err
+}
+
+func (l *Lab) to(name string, s syscall.Signal) error {
+	p, err := l.find(name)
+	if err != nil {
+		return err
+	}
+	return p.signal(s, false)
+}
+
+// StateOf is the folder of what a node keeps.
+func (l *Lab) StateOf(node string) string { return filepath.Join(l.dir, node+".state") }
+
+// Forget removes what a node keeps. It must not run.
+func (l *Lab) Forget(node string) error { return os.RemoveAll(l.StateOf(node)) }
+
+// MembersOf asks a node what it knows of the others.
+func (l *Lab) MembersOf(ctx context.Context, node string) (members.Report, error) {
+	return members.Ask(ctx, l.StateOf(node))
+}
--- a/internal/rig/lab/lab.go
+++ b/internal/rig/lab/lab.go
@@ -39,6 +39,7 @@
 	Past     *Past                           // what nodes remember at their start; nil: nothing
 	Routes   string                          // the [[route]] tables of their descriptions; "": a usual one
 	edit     func(i int, text []byte) []byte // of a sidecar's written configuration, for tests
+	Members  bool                            // nodes before the first tier know each other; between each two a relay for each direction
 	// Forward, if set, runs in the place of each node: a control that does not
 	// balance. It gets its name, address and the boxes' addresses behind its own
 	// arguments.
@@ -56,10 +57,12 @@
 	inner     []*process // between tiers
 	specs     map[string]standin.NodeSpec
 	clients   []*standin.Client
-	idlers    *idlers           // nil: none
-	strangers strangers         // what stands at the addresses of boxes that are no more
-	lists     map[string]string // discovery, by node
-	mu        sync.Mutex        // guards the configuration files
+	idlers    *idlers                  // nil: none
+	strangers strangers                // what stands at the addresses of boxes that are no more
+	lists     map[string]string        // discovery, by node
+	between   *between                 // relays; nil: nodes do not talk
+	stopped   map[string]time.Duration // when a node began to stand still
+	mu        sync.Mutex               // guards the configuration files
 }
 
 // Open starts fleet and nodes, and returns once all are ready. The caller must Close.
@@ -68,7 +71,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("lab: %w", err)
 	}
-	l := &Lab{options: o, dir: dir, specs: map[string]standin.NodeSpec{}, lists: map[string]string{}}
+	l := &Lab{options: o, dir: dir, specs: map[string]standin.NodeSpec{}, stopped: map[string]time.Duration{}, lists: map[string]string{}}
 	defer func() {
 		if err != nil {
 			l.Close()
@@ -90,6 +93,11 @@
 			return nil, err
 		}
 	}
+	if o.Members {
+		if l.between, err = newBetween(o.Nodes, l.Fleet.Host(), o.Plan.Seed); err != nil {
+			return nil, err
+		}
+	}
 	for i := range o.Nodes {
 		p, err := l.node(standin.NodeSpec{
 			Name: fmt.Sprintf("n%d", i), Number: i, Nodes: o.Nodes, Site: o.Plan.Sites[i%len(o.Plan.Sites)],
@@ -177,11 +185,16 @@
 	if err := l.writeConfig(s); err != nil {
 		return nil, err
 	}
+	if l.between != nil && s.Tier == 0 {
+		if err := l.between.write(s.Number, l.ownPath(s.Name), l.StateOf(s.Name)); err != nil {
+			return nil, err
+		}
+	}
 	command := []string{l.options.Binary}
 	if l.options.Operator != "" {
 		command = append(command, "--operator", l.options.Operator)
 	}
-	if l.options.Past != nil && l.options.Past.Arm == Doubts {
+	if l.options.Past != nil && l.options.Past.Arm == Doubts || l.between != nil && s.Tier == 0 {
 		command = append(command, "--settings", l.ownPath(s.Name))
 	}
 	return &process{
@@ -221,6 +234,17 @@
 }
 
 func (l *Lab) checkFault(f standin.Fault) error {
+	for _, name := range []string{f.From, f.To} {
+		if name == "" {
+			continue
+		}
+		if l.between == nil {
+			return fmt.Errorf("fault %s: nodes have links between them with members alone", f.Kind)
+		}
+		if _, err := l.between.index(name); err != nil {
+			return err
+		}
+	}
 	if f.Node == "" {
 		return l.Fleet.CheckFault(f)
 	}
@@ -381,5 +405,6 @@
 		l.Fleet.Close()
 	}
 	l.strangers.close()
+	l.between.close()
 	os.RemoveAll(l.dir)
 }
--- /dev/null
+++ b/internal/rig/lab/members_test.go
@@ -0,0 +1,266 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"curlewring/internal/rig/relay"
+	"curlewring/internal/rig/standin"
+)
+
+// together is a lab whose nodes know each other, with traffic that flows all the while.
+type together struct {
+	*Lab
+	t     *testing.T
+	names []string
+	ended chan *Report
+	stop  context.CancelFunc
+}
+
+func startTogether(t *testing.T, nodes int, seed uint64) *together {
+	t.Helper()
+	o := options()
+	o.Nodes, o.Members, o.Plan.Seed = nodes, true, seed
+	o.Traffic = standin.Traffic{Rate: 60, For: 5 * time.Minute, Retries: 1, Backoff: 100 * time.Millisecond}
+	ctx, stop := context.WithCancel(context.Background())
+	l, err := Open(ctx, o)
+	if err != nil {
+		stop()
+		t.Fatal(err)
+	}
+	x := &together{Lab: l, t: t, ended: make(chan *Report, 1), stop: stop}
+	for i := range nodes {
+		x.names = append(x.names, fmt.Sprint("n", i))
+	}
+	go func() { // ends with stop
+		r, err := l.Run(ctx, nil)
+		if err != nil {
+			t.Error(err)
+		}
+		x.ended <- r
+	}()
+	return x
+}
+
+// end stops the traffic and wants the four rules kept while all of it happened.
+func (x *together) end() {
+	x.t.Helper()
+	x.stop()
+	r := <-x.ended
+	x.Close()
+	if r == nil {
+		return
+	}
+	if !r.Kept() {
+		x.t.Errorf("a rule was broken: %+v", r.Breaches)
+	}
+	asked, served := 0, 0
+	for _, c := range r.Classes {
+		asked, served = asked+c.Asked, served+c.Served
+	}
+	if asked == 0 || served*100 < asked*95 {
+		x.t.Errorf("%d of %d requests served in time", served, asked)
+	}
+}
+
+// agreed waits until some nodes are in one view that holds just them, and returns its number and how long that took.
+func (x *together) agreed(within time.Duration, names ...string) (uint64, time.Duration) {
+	x.t.Helper()
+	begun := time.Now()
+	look := time.NewTicker(20 * time.Millisecond)
+	defer look.Stop()
+	for {
+		number, seen := x.look(names)
+		took := time.Since(begun)
+		if number > 0 {
+			return number, took
+		}
+		if took > within {
+			x.t.Errorf("%v: no agreement of %v:\n%s", within, names, seen)
+			for _, n := range names {
+				x.t.Logf("%s: %.4000s", n, x.Log(n))
+			}
+			return 0, took
+		}
+		<-look.C
+	}
+}
+
+func (x *together) look(names []string) (number uint64, seen string) {
+	var all []string
+	same := map[string]bool{}
+	for _, n := range names {
+		r, err := x.MembersOf(context.Background(), n)
+		if err != nil {
+			return 0, fmt.Sprintf("%s: %v", n, err)
+		}
+		s := r.Standing
+		var in []string
+		for i := range s.Members {
+			in = append(in, s.Members[i].Name)
+		}
+		slices.Sort(in)
+		view := fmt.Sprintf("view %d of %x: %v", s.Number, s.Root, in)
+		all = append(all, n+": "+view)
+		same[view] = true
+		if !slices.Equal(in, slices.Sorted(slices.Values(names))) {
+			number = 0
+			return 0, strings.Join(all, "\n")
+		}
+		number = s.Number
+	}
+	if len(same) != 1 {
+		return 0, strings.Join(all, "\n")
+	}
+	return number, ""
+}
+
+func (x *together) but(out ...string) []string {
+	return slices.DeleteFunc(slices.Clone(x.names), func(n string) bool { return slices.Contains(out, n) })
+}
+
+func (x *together) do(err error) {
+	x.t.Helper()
+	if err != nil {
+		x.t.Error(err)
+	}
+}
+
+// stays wants the view of all to be the same after a while.
+func (x *together) stays(number uint64, what string, lasts time.Duration) {
+	x.t.Helper()
+	time.Sleep(lasts) // the fault's own length, not a wait for a condition
+	if now, _ := x.look(x.names); now != number {
+		x.t.Errorf("%s: view %d before, %d after", what, number, now)
+		for _, n := range x.names {
+			x.t.Logf("%s: %.4000s", n, x.Log(n))
+		}
+	}
+}
+
+func clear(int, int) relay.Weather { return relay.Weather{} }
+
+// A killed process is out of every view, one that starts anew is a new life of the same name, with and without what
+// it kept, and one that is told to end is let go at once.
+func TestMembersKilledAndStarted(t *testing.T) {
+	t.Parallel()
+	x := startTogether(t, 5, 1)
+	defer x.end()
+	first, took := x.agreed(30*time.Second, x.names...)
+	t.Logf("five started at once agree after %v, in view %d", took, first)
+	x.do(x.Kill("n4"))
+	second, took := x.agreed(8*time.Second, x.but("n4")...)
+	t.Logf("a killed one is out of all views after %v", took)
+	if second != first+1 {
+		t.Errorf("view %d, then %d", first, second)
+	}
+	incarnation := uint64(1)
+	for _, kept := range []bool{true, false} {
+		if !kept {
+			x.do(x.Kill("n4"))
+			x.do(x.Forget("n4"))
+		}
+		x.do(x.Start("n4"))
+		if _, took = x.agreed(15*time.Second, x.names...); took > 10*time.Second {
+			t.Errorf("back after %v", took)
+		}
+		r, err := x.MembersOf(context.Background(), "n4")
+		x.do(err)
+		t.Logf("back after %v, incarnation %d", took, r.Standing.Self.Incarnation)
+		if r.Standing.Self.Incarnation <= incarnation {
+			t.Errorf("kept %v: incarnation %d after %d", kept, r.Standing.Self.Incarnation, incarnation)
+		}
+		incarnation = r.Standing.Self.Incarnation
+	}
+	// Two of five at once, and both back.
+	x.do(x.Kill("n3"))
+	x.do(x.Kill("n4"))
+	_, took = x.agreed(12*time.Second, x.but("n3", "n4")...)
+	t.Logf("two of five killed at once are out after %v", took)
+	x.do(x.Start("n3"))
+	x.do(x.Start("n4"))
+	x.agreed(20*time.Second, x.names...)
+}
+
+// What slows, loses, damages or cuts single links changes no view.
+func TestMembersBear(t *testing.T) {
+	t.Parallel()
+	x := startTogether(t, 6, 2)
+	defer x.end()
+	number, _ := x.agreed(30*time.Second, x.names...)
+	x.do(x.Stop("n5"))
+	time.Sleep(3 * time.Second) // the pause that must be borne
+	x.do(x.Cont("n5"))
+	x.stays(number, "a pause of 3 s", 2*time.Second)
+	r, err := x.MembersOf(context.Background(), "n5")
+	x.do(err)
+	if r.Standing.Stalls == 0 || r.Standing.Stats.Accusations > 0 {
+		t.Errorf("the one that stood still: %+v", r.Standing)
+	}
+	x.Weather(func(from, to int) relay.Weather { return relay.Weather{Cut: from == 1 && to == 2} })
+	x.stays(number, "one does not hear one other", 8*time.Second)
+	x.Weather(func(from, to int) relay.Weather {
+		return relay.Weather{Loss: 0.3, Damage: 0.1, Twice: 0.1, Delay: 30 * time.Millisecond}
+	})
+	x.stays(number, "30% lost, 10% damaged, 10% doubled, out of order", 10*time.Second)
+	r, err = x.MembersOf(context.Background(), "n0")
+	x.do(err)
+	if r.Passed == 0 {
+		t.Error("no damaged datagram was passed over")
+	}
+	x.Weather(clear)
+	x.stays(number, "all is well again", time.Second)
+}
+
+// One that nobody can use is taken out once, and comes back; a minority changes nothing, and finds back.
+func TestMembersCutOff(t *testing.T) {
+	t.Parallel()
+	x := startTogether(t, 7, 3)
+	defer x.end()
+	first, _ := x.agreed(30*time.Second, x.names...)
+	x.Weather(func(_, to int) relay.Weather { return relay.Weather{Cut: to == 4} })
+	second, took := x.agreed(9*time.Second, x.but("n4")...)
+	t.Logf("one that hears nobody is out after %v", took)
+	if second != first+1 {
+		t.Errorf("view %d, then %d", first, second)
+	}
+	time.Sleep(6 * time.Second) // it must not come and go
+	if now, _ := x.look(x.but("n4")); now != second {
+		t.Errorf("view %d, then %d, with the same fault", second, now)
+	}
+	x.Weather(clear)
+	third, took := x.agreed(20*time.Second, x.names...)
+	t.Logf("and back after %v", took)
+	// Three of seven on their own.
+	x.Weather(func(from, to int) relay.Weather { return relay.Weather{Cut: (from < 4) != (to < 4)} })
+	_, took = x.agreed(12*time.Second, "n0", "n1", "n2", "n3")
+	t.Logf("the majority is by itself after %v", took)
+	for _, n := range []string{"n4", "n5", "n6"} {
+		if r, err := x.MembersOf(context.Background(), n); err != nil || r.Standing.Number != third {
+			t.Errorf("%s, in the minority, is in view %d, not %d: %v", n, r.Standing.Number, third, err)
+		}
+	}
+	x.Weather(clear)
+	_, took = x.agreed(30*time.Second, x.names...)
+	t.Logf("one again after %v", took)
+}
+
+// A node that is told to end says so.
+func TestMembersLeave(t *testing.T) {
+	t.Parallel()
+	x := startTogether(t, 5, 4)
+	defer x.end()
+	x.agreed(30*time.Second, x.names...)
+	p, err := x.find("n2")
+	x.do(err)
+	go p.stop(10 * time.Second)
+	_, took := x.agreed(3*time.Second, x.but("n2")...)
+	t.Logf("out of all views after %v", took)
+	if strings.Contains(x.Log("n1"), "n2 out, accused") {
+		t.Error("it was found out, not told")
+	}
+}
--- a/internal/rig/standin/fault.go
+++ b/internal/rig/standin/fault.go
@@ -15,9 +15,11 @@
 	Box  string // its id, or a number; with Site and Node empty
 	Site string // all boxes of a site
 	Node string // a node's name or number
+	From string // of a link between nodes; "": any
+	To   string
 	At   time.Duration
 	For  time.Duration
-	By   float64 // slow: times slower; lag: seconds more; backup: seconds back
+	By   float64 // slow: times slower; lag: seconds more; backup: seconds back; lose, twice, damage: part; late: seconds
 }
 
 // faultKinds are the kinds, and what they happen to.
@@ -25,7 +27,8 @@
 	return map[string]string{
 		"slow": "boxes", "stuck": "boxes", "reset": "boxes", "refuse": "boxes", "silent": "boxes", "crash": "boxes",
 		"drain": "boxes", "garble": "boxes", "error": "boxes", "turnaway": "boxes",
-		"lag": "liste", "outage": "liste", "empty": "liste", "backup": "liste", "kill": "node",
+		"lag": "liste", "outage": "liste", "empty": "liste", "backup": "liste", "kill": "node", "stop": "node",
+		"cut": "links", "lose": "links", "late": "links", "twice": "links", "damage": "links",
 	}
 }
 
@@ -44,6 +47,9 @@
 	kind, rest, _ := strings.Cut(text, ":")
 	f := Fault{Kind: kind, At: 2 * time.Second, For: 3 * time.Second, By: 8}
 	what, ok := faultKinds()[kind]
+	if what == "links" {
+		f.By = 0.3
+	}
 	if !ok {
 		return f, fmt.Errorf("fault %q: no such kind; there are %s", text, strings.Join(FaultKinds(), ", "))
 	}
@@ -62,6 +68,10 @@
 			f.Site = value
 		case key == "node" && what == "node":
 			f.Node = value
+		case key == "from" && what == "links":
+			f.From = value
+		case key == "to" && what == "links":
+			f.To = value
 		case key == "at":
 			f.At, err = span(value)
 		case key == "for":
@@ -81,6 +91,9 @@
 	if what == "boxes" && (f.Box == "") == (f.Site == "") {
 		return f, fmt.Errorf("fault %q: name a box or a site", text)
 	}
+	if what == "links" && kind != "late" && kind != "cut" && f.By > 1 {
+		return f, fmt.Errorf("fault %q: by: %v is no part, 0 to 1", text, f.By)
+	}
 	if what == "node" && f.Node == "" {
 		return f, fmt.Errorf("fault %q: name a node", text)
 	}
@@ -136,6 +149,10 @@
 type Nodes interface {
 	Kill(name string) error
 	Start(name string) error
+	Stop(name string) error // it stands still ...
+	Cont(name string) error // ... and goes on
+	// Link makes or ends a fault of the links between nodes.
+	Link(f *Fault, on bool) error
 }
 
 // Play plays faults until all are over or the context ends; then what is still
@@ -194,6 +211,10 @@
 		return nil
 	case "kill":
 		return nodes.Kill(x.Node)
+	case "stop":
+		return nodes.Stop(x.Node)
+	case "cut", "lose", "late", "twice", "damage":
+		return nodes.Link(x, true)
 	}
 	boxes, err := f.hit(x)
 	if err != nil {
@@ -247,6 +268,10 @@
 		return nil
 	case "kill":
 		return nodes.Start(x.Node)
+	case "stop":
+		return nodes.Cont(x.Node)
+	case "cut", "lose", "late", "twice", "damage":
+		return nodes.Link(x, false)
 	}
 	boxes, err := f.hit(x)
 	if err != nil {
--- a/internal/rig/standin/judge/judge.go
+++ b/internal/rig/standin/judge/judge.go
@@ -149,6 +149,7 @@
 	places   map[string]Place
 	words    map[string]map[string][]word // by node, by box
 	deaths   map[string][]time.Duration
+	stood    map[string][][2]time.Duration // when a node's process stood still
 	fallen   []Breach
 	strays   []Breach
 	lags     []delay
@@ -158,7 +159,7 @@
 func New(r Rules) *Judge {
 	return &Judge{
 		rules: r, requests: map[string]*request{}, places: map[string]Place{},
-		words: map[string]map[string][]word{}, deaths: map[string][]time.Duration{},
+		words: map[string]map[string][]word{}, deaths: map[string][]time.Duration{}, stood: map[string][][2]time.Duration{},
 	}
 }
 
@@ -273,6 +274,14 @@
 	j.deaths[node] = append(j.deaths[node], at)
 }
 
+// Stood says that a node's process stood still from one time to another: what it held then may be answered late, or
+// be given up by its caller, but nothing is sent for it after its time.
+func (j *Judge) Stood(from, to time.Duration, node string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.stood[node] = append(j.stood[node], [2]time.Duration{from, to})
+}
+
 // Fell says that a cold box was sent too much and fell over.
 func (j *Judge) Fell(at time.Duration, box, why string) {
 	j.mu.Lock()
@@ -382,8 +391,14 @@
 		died = died || at >= c.asked-c.rules.Slack && at <= end+c.rules.Slack
 	}
 	limit := c.asked + c.wait
+	stood := false
+	for _, x := range c.stood[c.node] {
+		stood = stood || x[0] <= end+c.rules.Slack && x[1] >= c.asked-c.rules.Slack
+	}
 	switch {
 	case died:
+	case stood && (c.ending == Left || c.ending != Waiting && c.ending != Lost && c.ended > limit):
+		c.verdict.Excused++
 	case c.ending == Waiting:
 		if c.late(limit, c.now) {
 			c.breach(1, c.now, "no final answer")
