--- /dev/null
+++ b/internal/fleet/membership/fuzz_test.go
@@ -0,0 +1,81 @@
+package membership
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"testing"
+	"time"
+)
+
+// A node takes whatever messages come, in any order, and neither panics nor grows without bound.
+func FuzzReceive(f *testing.F) {
+	f.Add([]byte{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 200, 100, 50})
+	f.Add([]byte("a longer one, that goes through several messages of several kinds and comes to votes"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		data = data[:min(len(data), 600)]
+		next := func() uint64 {
+			var b [8]byte
+			n := copy(b[:], data)
+			data = data[min(n, 2):]
+			return binary.LittleEndian.Uint64(b[:])
+		}
+		addr := func(x uint64) netip.AddrPort {
+			return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1 + byte(x%5)}), 7000)
+		}
+		member := func() Member {
+			x := next()
+			return Member{Name: string(rune('a' + x%6)), Addr: addr(x >> 8), Life: 1 + x>>16%7, Incarnation: x >> 24 % 4}
+		}
+		n := New(Settings{Self: Member{Name: "a", Addr: addr(0)}, Seeds: []netip.AddrPort{addr(0)}}, 1, time.Second)
+		now := time.Second
+		for range 60 {
+			now += 100 * time.Millisecond
+			n.Tick(now)
+		}
+		var all []Member
+		for i := range 4 {
+			all = append(all, Member{Name: string(rune('b' + i)), Addr: addr(uint64(i) + 1), Life: uint64(i) + 1})
+		}
+		if v, err := NewView(n.view.Root, 2, append(all, n.self), 10); err == nil {
+			n.install(v, "")
+		}
+		for len(data) > 0 {
+			x := next()
+			m := &Message{Kind: Kind(1 + x%9), Root: 1, Number: x >> 8 % 5, Life: x >> 16 % 8, Seq: x >> 20 % 16, Low: uint32(x >> 24 % 3)}
+			if n.view != nil && x>>30&1 == 0 {
+				m.Root, m.Number = n.view.Root, n.view.Number
+			}
+			if x>>31&1 == 1 {
+				s := member()
+				s.Life = max(1, m.Life)
+				m.Self = &s
+				h := member()
+				m.Holder = &h
+			}
+			y := next()
+			m.Alerts = []Alert{{uint32(y % 8), uint32(y >> 8 % 6), uint32(y >> 16 % 9), y>>24&1 == 1}}
+			m.Alive = []Alive{{uint32(y >> 26 % 8), uint32(y >> 32 % 9)}}
+			m.Leaving = []Leave{{uint32(y >> 36 % 8), y>>40&1 == 1}}
+			if y>>41&1 == 1 {
+				z := next()
+				p := &Proposal{Of: m.Number, Number: m.Number + z%3, Remove: []uint32{uint32(z >> 8 % 6), uint32(z >> 16 % 6)}, Add: []Member{member()}}
+				m.Vote = &Vote{Of: m.Number, Ballot: z >> 24 % 9 << 32, Promises: Bits{byte(z >> 32)}, Accepted: z >> 40 % 3, Best: p.Hash(), Value: p.Hash() * (z >> 44 % 2), Forced: z>>46&1 == 1, Accepts: Bits{byte(z >> 48)}}
+				m.Change, m.Want = p, p.Hash()
+				m.Joins = []Candidate{{Member: member(), Slot: uint32(z >> 56 % 20), Number: z >> 60}}
+				if z>>50&1 == 1 {
+					m.View, _ = NewView(m.Root, m.Number+1, []Member{member(), n.self}, 10)
+				}
+			}
+			n.Receive(now, m)
+			if x>>32&1 == 1 {
+				now += time.Duration(x>>33%2000) * time.Millisecond
+				n.Tick(now)
+			}
+			sends, _ := n.Take()
+			if len(sends) > 2000 {
+				t.Fatalf("%d messages for one", len(sends))
+			}
+			n.Standing(now)
+		}
+	})
+}
--- a/internal/fleet/membership/news.go
+++ b/internal/fleet/membership/news.go
@@ -40,7 +40,7 @@
 }
 
 // Bytes that an item takes, at the most.
-const itemBytes = 14
+const itemBytes = 10
 
 // pick fills a message with the items that were passed on least.
 func (q *news) pick(n *Node, m *Message, bytes int) int {
--- a/internal/fleet/membership/node.go
+++ b/internal/fleet/membership/node.go
@@ -382,7 +382,7 @@
 }
 
 // copies is how often an item of news is passed on.
-func (n *Node) copies() int { return 2 + 3*bits.Len(uint(len(n.view.Members)))/2 }
+func (n *Node) copies() int { return 3 + bits.Len(uint(len(n.view.Members))) }
 
 // Leave tells the others that this node goes, and that nobody need miss it. The node is gone with the view
 // that lacks it, or after patience.
--- /dev/null
+++ b/internal/fleet/membership/node_test.go
@@ -0,0 +1,246 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+func named(i int) Member {
+	return Member{
+		Name: fmt.Sprintf("n%02d", i), Site: fmt.Sprint("s", i%3), Life: uint64(i) + 1, Incarnation: 1,
+		Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 1, byte(i)}), 7000),
+	}
+}
+
+// among returns the node of one place in a view of so many.
+func among(t *testing.T, nodes, i int) *Node {
+	t.Helper()
+	var all []Member
+	for k := range nodes {
+		all = append(all, named(k))
+	}
+	v, err := NewView(9, 1, all, 10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := New(Settings{Self: named(i), Seeds: []netip.AddrPort{named(0).Addr}}, uint64(i), time.Second)
+	n.self = named(i)
+	n.install(v, "")
+	n.Take()
+	return n
+}
+
+// live ticks a node for a while; those who answer do so at once.
+func live(n *Node, lasts time.Duration, answers func(m Member) bool) {
+	for end := n.now + lasts; n.now < end; {
+		n.Tick(n.now + 100*ms)
+		sends, _ := n.Take()
+		for _, s := range sends {
+			for _, m := range n.view.Members {
+				if s.Message.Kind == Probe && m.Addr == s.To && answers(m) {
+					n.Receive(n.now, &Message{Kind: Ack, Life: m.Life, Seq: s.Message.Seq, Root: 9, Number: 1})
+				}
+			}
+		}
+	}
+}
+
+// Whoever was silent while this node stood still has not been silent for it.
+func TestPauseIsForgiven(t *testing.T) {
+	n := among(t, 12, 0)
+	one := n.view.Members[n.view.watched[n.at][0]].Life
+	live(n, 3*time.Second, func(m Member) bool { return m.Life == one })
+	n.Tick(n.now + 10*time.Second)
+	if n.stats.Accusations > 0 || n.stalls != 1 {
+		t.Errorf("%d accusations after a pause, %d pauses seen", n.stats.Accusations, n.stalls)
+	}
+	live(n, 5*time.Second, func(m Member) bool { return m.Life == one })
+	if want := len(n.edges) - 1; n.stats.Accusations != want {
+		t.Errorf("%d accusations of those who stayed silent, want %d", n.stats.Accusations, want)
+	}
+}
+
+// Who hears nobody is itself cut off, and accuses nobody; nor as soon as one is heard again.
+func TestWhoHearsNobodyAccusesNobody(t *testing.T) {
+	n := among(t, 12, 0)
+	live(n, 20*time.Second, func(Member) bool { return false })
+	if n.stats.Accusations > 0 || !n.isolated {
+		t.Errorf("%d accusations, isolated %v", n.stats.Accusations, n.isolated)
+	}
+	one := n.view.Members[n.view.watched[n.at][0]].Life
+	live(n, 2*time.Second, func(m Member) bool { return m.Life == one })
+	if n.stats.Accusations > 0 {
+		t.Errorf("%d accusations right after", n.stats.Accusations)
+	}
+}
+
+// An answer of a life that is not in the view, or to nothing that was asked, is no contact.
+func TestOldAnswersAreNoContact(t *testing.T) {
+	n := among(t, 5, 0)
+	live(n, 2*time.Second, func(Member) bool { return false })
+	for seq := range uint64(40) {
+		n.Receive(n.now, &Message{Kind: Ack, Life: 77, Seq: seq, Root: 9, Number: 1})
+		n.Receive(n.now, &Message{Kind: Ack, Life: 2, Seq: seq + 1000, Root: 9, Number: 1})
+	}
+	for _, e := range n.edges {
+		if e.heard > 0 {
+			t.Errorf("contact with %s", e.member.Name)
+		}
+	}
+}
+
+func accuse(n *Node, subject uint32, watchers int) {
+	for s := range uint32(watchers) {
+		n.cut.alert(n.view, Alert{Subject: subject, Slot: s, Seq: n.cut.row(subject).seqs[s] + 1, Down: true}, n.now)
+	}
+}
+
+// Two watermarks: below the low one is noise, above the high one a member goes, and between them all wait.
+func TestWatermarks(t *testing.T) {
+	for _, x := range []struct {
+		accusers, beside int
+		out              int
+		clear            bool
+	}{{8, 0, 1, true}, {10, 2, 1, true}, {8, 3, 1, false}, {7, 0, 0, false}, {2, 2, 0, true}} {
+		n := among(t, 30, 0)
+		accuse(n, 5, x.accusers)
+		accuse(n, 17, x.beside)
+		out, clear := n.cut.verdict(n.view, n.now+time.Second)
+		if len(out) != x.out || clear != x.clear {
+			t.Errorf("accused by %d and another by %d: out %v, clear %v", x.accusers, x.beside, out, clear)
+		}
+	}
+}
+
+// Who is accused is told, says that it lives, and is not taken out while it does.
+func TestTheAccusedSpeaks(t *testing.T) {
+	n := among(t, 30, 0)
+	m := &Message{Kind: Probe, Life: named(1).Life, Root: 9, Number: 1, Seq: 1}
+	for s := range uint32(8) {
+		m.Alerts = append(m.Alerts, Alert{Subject: n.at, Slot: s, Seq: 1, Down: true})
+	}
+	n.Receive(n.now, m)
+	n.Take()
+	n.Tick(n.now + 100*ms)
+	sends, _ := n.Take()
+	if !slices.ContainsFunc(sends, func(s Send) bool { return len(s.Message.Alive) == 1 && s.Message.Alive[0].Member == n.at }) {
+		t.Error("it does not say that it lives")
+	}
+	other := among(t, 30, 3)
+	subject := other.view.watched[other.at][0]
+	accuse(other, subject, 8)
+	if out, _ := other.cut.verdict(other.view, other.now+time.Second); !slices.Equal(out, []uint32{subject}) {
+		t.Errorf("mute: out %v", out)
+	}
+	other.Receive(other.now, &Message{Kind: Gossip, Life: 2, Root: 9, Number: 1, Alive: []Alive{{subject, 1}}})
+	if out, _ := other.cut.verdict(other.view, other.now+time.Second); len(out) > 0 {
+		t.Errorf("it speaks: out %v", out)
+	}
+	told := false
+	for range 15 {
+		other.Tick(other.now + 100*ms)
+		sends, _ = other.Take()
+		for _, s := range sends {
+			told = told || s.Message.Kind == Probe && s.To == other.view.Members[subject].Addr && len(s.Message.Alerts) >= 7
+		}
+	}
+	if !told {
+		t.Error("nobody tells the accused")
+	}
+}
+
+// A name that is taken out again and again waits, longer each time.
+func TestTakenOutAgain(t *testing.T) {
+	n := among(t, 5, 0)
+	v := n.view
+	without, err := v.Next(&Proposal{Of: 1, Number: 2, Remove: []uint32{4}}, 10)
+	if err != nil {
+		t.Fatal(err)
+	}
+	last := time.Duration(-1)
+	for k := range 4 {
+		n.remember(v, without)
+		r := n.removed[named(4).Name]
+		if wait := max(0, r.until-n.now); wait <= last && k > 0 {
+			t.Errorf("time %d: waits %v after %v", k+1, wait, last)
+		} else {
+			last = wait
+		}
+	}
+	n.view = without
+	joiner := named(4)
+	joiner.Life = 99
+	n.Receive(n.now+time.Second, &Message{Kind: Join, Life: 99, Self: &joiner})
+	if len(n.trials) > 0 {
+		t.Error("it is tried while it must wait")
+	}
+	n.Receive(n.now+last+time.Second, &Message{Kind: Join, Life: 99, Self: &joiner})
+	if len(n.trials) == 0 {
+		t.Error("it is not tried once it has waited")
+	}
+}
+
+// Whatever ballots are opened by whom, and whatever of the votes is lost, late or doubled, no two nodes make different
+// views of one number.
+func TestOneDecision(t *testing.T) {
+	decided := 0
+	for seed := range uint64(4000) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		size := 3 + rng.IntN(3)
+		var nodes []*Node
+		for i := range size {
+			n := among(t, size, i)
+			extra := named(20 + i) // each would have another change
+			n.vote.wish = &Proposal{Of: 1, Number: 2, Add: []Member{extra}}
+			nodes = append(nodes, n)
+		}
+		type letter struct {
+			to int
+			m  *Message
+		}
+		var post []letter
+		digest := uint64(0)
+		for range 120 {
+			i := rng.IntN(size)
+			n := nodes[i]
+			switch b := &n.vote; {
+			case n.view.Number == 1 && rng.IntN(6) == 0:
+				b.open(Vote{Of: 1, Ballot: ballotOf(b.cur.Ballot>>32+1, b.rank), Promises: NewBits(size)}, n.now)
+				n.weigh()
+			case len(post) > 0 && rng.IntN(2) == 0:
+				k := rng.IntN(len(post))
+				l := post[k]
+				if rng.IntN(4) > 0 { // else it comes again later
+					post = slices.Delete(post, k, k+1)
+				}
+				nodes[l.to].hearVote(l.m)
+			case n.view.Number == 1 && b.cur.Ballot != 0:
+				m := &Message{Kind: Gossip, Life: n.self.Life, Root: 9, Number: 1}
+				m.Vote, m.Change = n.ballot(b.cur, b.proposals[b.cur.Value])
+				if to := rng.IntN(size); to != i {
+					post = append(post, letter{to, m})
+				}
+			}
+			for _, n := range nodes {
+				if n.view.Number == 2 {
+					decided++
+					if digest == 0 {
+						digest = n.view.Digest
+					}
+					if digest != n.view.Digest {
+						t.Fatalf("seed %d: two views of one number", seed)
+					}
+				}
+			}
+		}
+	}
+	if decided == 0 {
+		t.Error("nothing was ever decided: the test shows nothing")
+	}
+}
--- a/internal/fleet/membership/probe.go
+++ b/internal/fleet/membership/probe.go
@@ -156,7 +156,7 @@
 	}
 	i, ok := n.view.Index(m.Life)
 	e := n.edges[i]
-	if !ok || e == nil || e.member.Life != m.Life {
+	if !ok || e == nil {
 		return
 	}
 	for k := range e.open {
--- a/internal/fleet/membership/settings.go
+++ b/internal/fleet/membership/settings.go
@@ -44,7 +44,7 @@
 	or(&s.Watchers, 10)
 	or(&s.Fanout, 3)
 	or(&s.MostNews, 1100)
-	or(&s.Budget, 16<<10)
+	or(&s.Budget, 32<<10)
 	dur(&s.Period, time.Second)
 	dur(&s.Again, 300*time.Millisecond)
 	dur(&s.Silence, 3600*time.Millisecond)
--- a/internal/fleet/membership/vote.go
+++ b/internal/fleet/membership/vote.go
@@ -78,8 +78,8 @@
 
 func (b *ballots) open(v Vote, now time.Duration) { b.cur, b.begun, b.grown = v, now, now }
 
-// carries tells whether those who would decide are enough. Without that nothing is put to the vote: what a minority had
-// accepted would have to be decided once the others are back.
+// carries tells whether those who would decide are enough, as far as is known here: votes that can't decide are spared.
+// It is the promises that keep a minority from leaving something accepted behind.
 func (n *Node) carries(out []uint32) bool {
 	stay := 0
 	for i := range uint32(len(n.view.Members)) {
--- a/internal/fleet/wire/wire.go
+++ b/internal/fleet/wire/wire.go
@@ -355,6 +355,9 @@
 			}
 			return nil
 		})
+		if err == nil && c.Member.Check() != nil {
+			return fault(Malformed, "a candidate that is nobody")
+		}
 		m.Joins = append(m.Joins, c)
 	case fieldView:
 		m.View, err = r.view(f.b)
--- /dev/null
+++ b/internal/fleet/wire/wire_test.go
@@ -0,0 +1,180 @@
+package wire
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"reflect"
+	"runtime"
+	"testing"
+
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"curlewring/internal/fleet/membership"
+)
+
+func someone(rng *rand.Rand) *membership.Member {
+	return &membership.Member{
+		Name: fmt.Sprintf("node-%d", rng.IntN(1e6)), Site: []string{"", "basel", "genf"}[rng.IntN(3)],
+		Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, byte(rng.IntN(256)), 0, 1}), uint16(1+rng.IntN(65535))),
+		Life: 1 + rng.Uint64N(1<<60), Incarnation: uint64(rng.IntN(100)),
+	}
+}
+
+// drawn is a message with some of everything.
+func drawn(rng *rand.Rand) *membership.Message {
+	m := &membership.Message{
+		Kind: membership.Kind(1 + rng.IntN(int(membership.State))), Root: rng.Uint64(), Number: rng.Uint64N(1000), Life: 1 + rng.Uint64N(1<<50),
+		Seq: rng.Uint64N(1 << 40), Low: uint32(rng.IntN(4)), Want: rng.Uint64N(2) * rng.Uint64(),
+	}
+	if rng.IntN(2) == 0 {
+		m.Self, m.Holder = someone(rng), someone(rng)
+	}
+	for range rng.IntN(20) {
+		m.Alerts = append(m.Alerts, membership.Alert{Subject: rng.Uint32N(10000), Slot: rng.Uint32N(16), Seq: rng.Uint32(), Down: rng.IntN(2) == 0})
+		m.Alive = append(m.Alive, membership.Alive{Member: rng.Uint32(), Seq: rng.Uint32()})
+		m.Leaving = append(m.Leaving, membership.Leave{Member: rng.Uint32N(1 << 31), Ended: rng.IntN(2) == 0})
+	}
+	if rng.IntN(2) == 0 {
+		m.Vote = &membership.Vote{
+			Of: rng.Uint64(), Ballot: rng.Uint64(), Promises: membership.Bits{1, byte(rng.IntN(256))}, Accepted: rng.Uint64(), Best: rng.Uint64(),
+			Value: rng.Uint64(), Forced: rng.IntN(2) == 0, Accepts: membership.Bits{7},
+		}
+		m.Change = &membership.Proposal{Of: rng.Uint64(), Number: rng.Uint64(), Remove: []uint32{1, 5, 70000}, Add: []membership.Member{*someone(rng)}}
+	}
+	for range rng.IntN(3) {
+		m.Joins = append(m.Joins, membership.Candidate{Member: *someone(rng), Slot: rng.Uint32N(16), Number: rng.Uint64N(9)})
+	}
+	if rng.IntN(3) == 0 {
+		var all []membership.Member
+		for i := range 1 + rng.IntN(30) {
+			x := someone(rng)
+			x.Name = fmt.Sprintf("%s-%d", x.Name, i)
+			all = append(all, *x)
+		}
+		m.View, _ = membership.NewView(1+rng.Uint64N(1e9), 1+rng.Uint64N(1e9), all, 10)
+	}
+	return m
+}
+
+func TestMessagesComeBack(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 2000 {
+		m := drawn(rng)
+		got, err := Parse(Append(nil, 7, m), 7, 10)
+		if err != nil {
+			t.Fatalf("%+v: %v", m, err)
+		}
+		if (m.View == nil) != (got.View == nil) || m.View != nil && m.View.Digest != got.View.Digest {
+			t.Fatalf("another view came back")
+		}
+		m.View, got.View = nil, nil
+		if !reflect.DeepEqual(m, got) {
+			t.Fatalf("sent %+v\n got %+v", m, got)
+		}
+	}
+}
+
+// What is none of this fleet's is told apart, and each is passed over.
+func TestPassedOver(t *testing.T) {
+	m := &membership.Message{Kind: membership.Probe, Life: 3, Seq: 4}
+	good := Append(nil, 7, m)
+	change := func(at int, to byte) []byte {
+		b := append([]byte(nil), good...)
+		b[at] = to
+		return b
+	}
+	for name, x := range map[string]struct {
+		b    []byte
+		want Fault
+	}{
+		"nothing": {nil, Short}, "a head cut off": {good[:Head-1], Short}, "text": {[]byte("GET / HTTP/1.1\r\n"), Noise},
+		"the next version": {change(2, Version+1), OtherVersion}, "another fleet": {Append(nil, 8, m), OtherFleet},
+		"a byte changed": {change(len(good)-1, good[len(good)-1]^1), Damaged}, "cut off": {good[:len(good)-1], Damaged},
+		"no sender":                  {Append(nil, 7, &membership.Message{Kind: membership.Probe}), Malformed},
+		"no kind":                    {Append(nil, 7, &membership.Message{Life: 1}), Malformed},
+		"a kind of the next version": {Append(nil, 7, &membership.Message{Kind: membership.State + 1, Life: 1}), Malformed},
+	} {
+		_, err := Parse(x.b, 7, 10)
+		var bad *Error
+		if !errors.As(err, &bad) || bad.Fault != x.want {
+			t.Errorf("%s: %v, want fault %d", name, err, x.want)
+		}
+	}
+	// Every single byte changed is found.
+	for i := range good {
+		if _, err := Parse(change(i, good[i]^0x10), 7, 10); err == nil {
+			t.Errorf("byte %d changed: not found", i)
+		}
+	}
+}
+
+// seal gives fields a head that is right.
+func seal(fields []byte) []byte {
+	b := Append(nil, 7, &membership.Message{})[:Head]
+	b = append(b, fields...)
+	sum := checksum(b)
+	b[8], b[9], b[10], b[11] = byte(sum>>24), byte(sum>>16), byte(sum>>8), byte(sum)
+	return b
+}
+
+// Fields that a later writer of this version adds are passed over.
+func TestUnknownFields(t *testing.T) {
+	fields := Append(nil, 7, &membership.Message{Kind: membership.Ack, Life: 3, Seq: 9})[Head:]
+	fields = protowire.AppendVarint(protowire.AppendTag(fields, 99, protowire.VarintType), 5)
+	fields = protowire.AppendBytes(protowire.AppendTag(fields, 100, protowire.BytesType), []byte("later"))
+	fields = protowire.AppendFixed32(protowire.AppendTag(fields, 101, protowire.Fixed32Type), 1)
+	m, err := Parse(seal(fields), 7, 10)
+	if err != nil || m.Kind != membership.Ack || m.Seq != 9 {
+		t.Errorf("%+v, %v", m, err)
+	}
+}
+
+// A datagram of the largest size makes the reader allocate no more than it warrants, whatever it says.
+func TestAllocationIsWarranted(t *testing.T) {
+	many := func(field protowire.Number, part []byte) []byte {
+		var all []byte
+		for len(all) < MostDatagram-Head-16 {
+			all = protowire.AppendBytes(protowire.AppendTag(all, field, protowire.BytesType), part)
+		}
+		return append(all, Append(nil, 7, &membership.Message{Kind: membership.Gossip, Life: 1})[Head:]...)
+	}
+	for name, b := range map[string][]byte{
+		"alerts": seal(many(fieldAlert, []byte{1, 1, 1})), "alive": seal(many(fieldAlive, []byte{1, 1})), "joins": seal(many(fieldJoin, nil)),
+		"votes": seal(many(fieldVote, []byte{0x1a, 1, 1})), "leaving": seal(many(fieldLeaving, make([]byte, 1000))),
+	} {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		Parse(b, 7, 10)
+		runtime.ReadMemStats(&after)
+		if got := after.TotalAlloc - before.TotalAlloc; got > 256<<10 {
+			t.Errorf("%s: %d bytes allocated for %d", name, got, len(b))
+		}
+	}
+}
+
+// FuzzParse: what comes never makes the reader panic, and what it reads it writes again as it was.
+func FuzzParse(f *testing.F) {
+	rng := rand.New(rand.NewPCG(3, 4))
+	for range 30 {
+		f.Add(Append(nil, 7, drawn(rng))[Head:])
+	}
+	f.Fuzz(func(t *testing.T, fields []byte) {
+		m, err := Parse(seal(fields), 7, 10)
+		if err != nil {
+			return
+		}
+		again, err := Parse(Append(nil, 7, m), 7, 10)
+		if err != nil {
+			t.Fatalf("what was read can't be written: %v", err)
+		}
+		if m.View != nil && m.View.Digest != again.View.Digest {
+			t.Fatal("another view came back")
+		}
+		m.View, again.View = nil, nil
+		if !reflect.DeepEqual(m, again) {
+			t.Fatalf("read %+v\nthen %+v", m, again)
+		}
+	})
+}
