End a fleet's long polls one after the other, and ask anew soon after a failure

Ruled out: the list's taking in (2 entries), the connections to the drained servers (closed with the word), the module's choice. At fault: watchLeast/watchSpread/watchLate in discovery.go.

After a failed call the next poll waits 2 s, so that a swallowed one leaves time for another; pauses after failures end at 1.5 s, where they grew to 5 s (follow). A whole list asked for in doubt no longer drops the generation that the node has.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -40,6 +40,7 @@
 	ejectFor     = time.Second            // doubled with each further ejection
 	holdStep     = 10 * time.Millisecond  // wait before looking again for a server
 	askStep      = 250 * time.Millisecond // first wait before asking for the list again
+	askMost      = 3 * time.Second / 2    // the longest: what discovery has known for 6 s counts as told
 	sizeSlack    = 1.0 / 16               // part by which a subset may be larger or smaller than its share
 	startSlack   = 32                     // part of a ring (one in so many) by which its start may be off
 	spread       = 0.63224128846          // multiples of it spread evenly, every 2nd to 16th of them too
@@ -410,7 +411,7 @@
 // follow keeps a watch on a list that comes only when asked for, and asks again with back-off and jitter.
 func (b *Balancer) follow(c Change) {
 	b.asking, b.watching = false, c == ListDiff || c == ListFull
-	wait := max(holdStep, min(askStep<<min(b.askTries, 8), b.set.AskWithin/2))
+	wait := max(holdStep, min(askStep<<min(b.askTries, 8), askMost, b.set.AskWithin/2))
 	if b.watching {
 		b.askTries = 0
 		return
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -599,3 +599,35 @@
 		t.Errorf("at the end of its time: %v, want an answer", end)
 	}
 }
+
+// What discovery has known for 6 s counts as told, whatever calls have failed: after any number of failures the module must
+// ask again so soon that one call that is lost, and one that waits in turn, still fit into that.
+func TestAskingNeverPausesForLong(t *testing.T) {
+	b := New(Settings{MustAsk: true, AskWithin: 10 * time.Second}, 1, 0)
+	now, longest := time.Duration(0), time.Duration(0)
+	pauses := map[time.Duration]bool{}
+	for range 40 {
+		wait := time.Duration(-1)
+		for _, a := range b.Members(now, Members{Change: ListFailed}, nil) {
+			if a.Kind == After {
+				wait = a.Wait
+			}
+		}
+		if wait < 0 {
+			t.Fatal("a failed call is not followed by another")
+		}
+		longest = max(longest, wait)
+		pauses[wait] = true
+		now += wait
+		if out := b.Timer(now, Timer{Token: askToken}, nil); len(out) != 1 || out[0].Kind != Watch {
+			t.Fatalf("after the pause: %v", out)
+		}
+		now += time.Second
+	}
+	if longest > 1500*ms || longest < 500*ms {
+		t.Errorf("pauses of up to %v, want some growth, and 1.5 s at the most", longest)
+	}
+	if len(pauses) < 20 {
+		t.Errorf("only %d different pauses: the calls of a fleet fall together", len(pauses))
+	}
+}
--- a/internal/node/discovery/discovery.go
+++ b/internal/node/discovery/discovery.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -16,21 +16,11 @@
 )
 
 const (
-	// A network may swallow a watch in silence, and then the node goes on with an
-	// old list until its wait is over. But discovery can send so many lines a
-	// second to the whole fleet, and every call costs some: so a watch waits the
-	// longer the more nodes there are, within what the protocol allows, less a
-	// random part, lest the calls of a fleet fall together.
-	watchANode  = 1500 * time.Millisecond
-	watchLeast  = 6 * time.Second
-	watchMost   = 60 * time.Second
-	watchSpread = 10 // up to one part in so many
-	// What a watch has to tell counts as told 2 s after its wait is over. One that
-	// has had no answer by now is lost, and leaves the time for another.
-	watchLate = time.Second
 	// A call is worked through in turn; one that has had no answer by now is lost.
-	callWait     = 5 * time.Second
-	callConnect  = time.Second
+	callWait    = 5 * time.Second
+	callConnect = time.Second
+	// A node that has a list asks for the whole only in doubt: one that gets none in this time asks for changes.
+	wholeWait    = 3500 * time.Millisecond
 	mostListSize = 1 << 20 // some 5000 servers; the smallest node has 32 MB for all it does
 	mostListHead = 64 << 10
 )
@@ -40,12 +30,11 @@
 	service atomic.Pointer[service]
 	from    atomic.Pointer[uint64] // the generation that a watch which has none begins with; nil: the whole list
 	log     *slog.Logger
-	watch   chan bool             // on or off, the newest counts
-	renew   chan bool             // the watch begins anew; true: with the whole list
-	fetch   chan struct{}         // one call for the whole list
-	report  func(*endpoints.List) // called with each answer; nil: a call failed
-	long    time.Duration         // how long a watch may wait
-	patient time.Duration         // how long a call may take besides
+	watch   chan bool                                                          // on or off, the newest counts
+	renew   chan bool                                                          // the watch begins anew; true: with the whole list
+	fetch   chan struct{}                                                      // one call for the whole list
+	report  func(*endpoints.List)                                              // called with each answer; nil: a call failed
+	poll    func(wall time.Duration, lost bool) (wait, patience time.Duration) // PollSchedule.Wait; RunWatch's
 
 	mu     sync.Mutex
 	asking *endpoints.Asking // how long calls for the whole list may take
@@ -75,16 +64,16 @@
 	}
 }
 
-func New(address string, nodes int, log *slog.Logger, report func(*endpoints.List)) *Discovery {
+// New makes the calls of a node that stands there in its fleet.
+func New(address string, place endpoints.Place, log *slog.Logger, report func(*endpoints.List)) *Discovery {
 	d := &Discovery{
-		log:     log,
-		watch:   make(chan bool, 1),
-		renew:   make(chan bool, 1),
-		fetch:   make(chan struct{}, 1),
-		report:  report,
-		long:    min(max(watchLeast, time.Duration(nodes)*watchANode), watchMost),
-		patient: callWait,
-		asking:  endpoints.NewAsking(nodes, callWait),
+		log:    log,
+		watch:  make(chan bool, 1),
+		renew:  make(chan bool, 1),
+		fetch:  make(chan struct{}, 1),
+		report: report,
+		poll:   endpoints.NewPollSchedule(place).Wait,
+		asking: endpoints.NewAsking(place.Nodes, callWait),
 	}
 	d.service.Store(newService(address))
 	return d
@@ -125,15 +114,18 @@
 	d.renew <- whole
 }
 
-// whole asks for the whole list, for as long as is worth waiting for.
-func (d *Discovery) whole(ctx context.Context) (*endpoints.List, error) {
+// whole asks for the whole list, for as long as is worth waiting for: no longer than most, unless that is 0.
+func (d *Discovery) whole(ctx context.Context, most time.Duration) (*endpoints.List, error) {
 	d.mu.Lock()
 	wait := d.asking.Patience()
 	d.mu.Unlock()
+	if most > 0 {
+		wait = min(wait, most)
+	}
 	begun := time.Now()
 	l, err := d.call(ctx, "", wait)
 	took := time.Since(begun)
-	if ctx.Err() == nil {
+	if ctx.Err() == nil && !errors.Is(err, errMoved) {
 		d.mu.Lock()
 		d.asking.Ended(took, err != nil && took >= wait)
 		d.mu.Unlock()
@@ -157,7 +149,10 @@
 			return
 		case <-d.fetch:
 		}
-		l, err := d.whole(ctx)
+		l, err := d.whole(ctx, 0)
+		for errors.Is(err, errMoved) {
+			l, err = d.whole(ctx, 0)
+		}
 		if ctx.Err() != nil {
 			return
 		}
@@ -168,46 +163,49 @@
 	}
 }
 
+// watch is a watch as RunWatch keeps it.
+type watch struct {
+	on, wanted bool
+	since      *uint64 // the generation that this node has; nil: none
+	whole      bool    // the next call is for the whole list all the same
+	lost       bool    // the last call failed
+}
+
 // RunWatch keeps the watch, while it is wanted, until the context ends. A call
 // that fails ends the watch: the module decides when to ask again.
 // A watch that waits for that in vain at an old address begins anew with a move.
 func (d *Discovery) RunWatch(ctx context.Context, since *uint64) {
-	on, wanted := false, false
-	for {
+	w := watch{since: since}
+	for ctx.Err() == nil {
 		at := d.service.Load()
-		if on {
-			if from := d.from.Swap(nil); since == nil {
-				since = from
-			}
-			on, wanted, since = d.watchOnce(ctx, since)
-		} else {
-			select {
-			case on = <-d.watch:
-				wanted = on
-			case <-at.left.Done():
-				on = wanted
-			case <-ctx.Done():
+		if w.on {
+			if from := d.from.Swap(nil); w.since == nil {
+				w.since = from
 			}
+			d.watchOnce(ctx, &w)
+			continue
 		}
-		if ctx.Err() != nil {
-			return
+		select {
+		case w.on = <-d.watch:
+			w.wanted = w.on
+		case <-at.left.Done():
+			w.on = w.wanted
+		case <-ctx.Done():
 		}
 	}
 }
 
-// watchOnce makes one call of a watch, and returns whether the watch goes on,
-// whether it is still wanted, and the generation to ask from. Turning the watch
-// off ends the call.
-func (d *Discovery) watchOnce(life context.Context, since *uint64) (on, wanted bool, _ *uint64) {
+// watchOnce makes one call of a watch. Turning the watch off ends the call.
+func (d *Discovery) watchOnce(life context.Context, w *watch) {
 	ctx, cancel := context.WithCancel(life)
 	defer cancel()
 	select {
 	case whole := <-d.renew: // this call is as new as any
-		if whole {
-			since = nil
-		}
+		w.whole = w.whole || whole
 	default:
 	}
+	whole := w.whole || w.since == nil
+	w.whole = false
 	type end struct{ off, renewed, whole bool }
 	ended := make(chan end, 1)
 	go func() { // ends with this call
@@ -219,11 +217,11 @@
 					cancel()
 					return
 				}
-			case whole := <-d.renew:
-				if since == nil {
+			case again := <-d.renew:
+				if whole {
 					continue // a call for the whole list is out
 				}
-				ended <- end{renewed: true, whole: whole}
+				ended <- end{renewed: true, whole: again}
 				cancel()
 				return
 			case <-ctx.Done():
@@ -234,42 +232,47 @@
 	}()
 	var l *endpoints.List
 	var err error
-	if since == nil {
-		l, err = d.whole(ctx)
-	} else {
-		long := d.long - rand.N(d.long/watchSpread)
-		query := fmt.Sprintf("?since=%d&timeout_ms=%d", *since, long.Milliseconds())
-		l, err = d.call(ctx, query, long+min(watchLate, d.patient))
+	switch {
+	case whole && w.since == nil:
+		l, err = d.whole(ctx, 0)
+	case whole:
+		l, err = d.whole(ctx, wholeWait)
+	default:
+		wait, patience := d.poll(time.Duration(time.Now().UnixNano()), w.lost)
+		l, err = d.call(ctx, fmt.Sprintf("?since=%d&timeout_ms=%d", *w.since, wait.Milliseconds()), patience)
 	}
 	cancel()
 	e := <-ended
-	if e.off || life.Err() != nil {
-		return false, false, since
-	}
-	if e.whole {
-		since = nil
-	}
-	if e.renewed {
-		return true, true, since
-	}
-	if err != nil {
+	w.on, w.wanted = true, true
+	switch {
+	case life.Err() != nil:
+	case e.off:
+		w.on, w.wanted = false, false
+	case e.renewed:
+		w.whole = e.whole
+	case errors.Is(err, errMoved): // no failure; but the new address has yet to prove itself
+		w.whole, w.lost = whole && w.since != nil, true
+	case err != nil:
 		d.log.Warn("the watch failed", "err", err)
+		w.on, w.lost = false, true
 		d.report(nil)
-		return false, true, since
+	default:
+		w.since, w.lost = &l.Generation, false
+		d.report(l)
 	}
-	d.report(l)
-	return true, true, &l.Generation
 }
 
-// call asks discovery, wherever it moves meanwhile.
+// errMoved says that discovery has moved while a call was out.
+var errMoved = errors.New("discovery has moved")
+
+// call asks discovery. One that is out while discovery moves elsewhere ends with errMoved.
 func (d *Discovery) call(ctx context.Context, query string, wait time.Duration) (*endpoints.List, error) {
-	for {
-		at := d.service.Load()
-		l, err := at.call(ctx, query, wait)
-		if err == nil || ctx.Err() != nil || at.left.Err() == nil {
-			return l, err
-		}
+	at := d.service.Load()
+	l, err := at.call(ctx, query, wait)
+	if err != nil && ctx.Err() == nil && at.left.Err() != nil {
+		return nil, errMoved
 	}
+	return l, err
 }
 
 func (s *service) call(ctx context.Context, query string, wait time.Duration) (*endpoints.List, error) {
--- a/internal/node/discovery/discovery_test.go
+++ b/internal/node/discovery/discovery_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net"
+	"net/url"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -12,32 +14,109 @@
 	"curlewring/internal/servers/endpoints"
 )
 
+// place is that of the only node.
+func place() endpoints.Place { return endpoints.Place{Nodes: 1} }
+
 // A watch that stays silent past its time is lost, and must be reported so: the
 // node would else hear of nothing any more.
 func TestSilentWatchFails(t *testing.T) {
 	d := NewDiscoveryServer(t)
 	reports := make(chan *endpoints.List, 10)
-	watch := New(d.Listener.Addr().String(), 1, Quiet(), func(l *endpoints.List) { reports <- l })
-	watch.long, watch.patient = 50*time.Millisecond, 50*time.Millisecond
+	watched := New(d.Listener.Addr().String(), place(), Quiet(), func(l *endpoints.List) { reports <- l })
+	watched.poll = func(time.Duration, bool) (wait, patience time.Duration) {
+		return 50 * time.Millisecond, 100 * time.Millisecond
+	}
 	since := uint64(3)
-	on, wanted, from := watch.watchOnce(t.Context(), &since)
-	if on || !wanted || *from != 3 {
-		t.Errorf("the watch goes on: %v, from %d", on, *from)
+	w := watch{on: true, wanted: true, since: &since}
+	watched.watchOnce(t.Context(), &w)
+	if w.on || !w.wanted || *w.since != 3 || !w.lost {
+		t.Errorf("the watch is %+v, from %d", w, *w.since)
 	}
 	if l := <-reports; l != nil {
 		t.Errorf("reported %v", l)
 	}
 }
 
-// A small fleet must notice a watch that a network has swallowed within seconds:
-// it hears of no drain and no new server meanwhile. A large one must not ask more
-// often than discovery can bear.
-func TestWatchWaitsByFleet(t *testing.T) {
-	for nodes, want := range map[int]time.Duration{0: 6 * time.Second, 2: 6 * time.Second, 20: 30 * time.Second, 500: time.Minute} {
-		if got := New("127.0.0.1:1", nodes, Quiet(), nil).long; got != want {
-			t.Errorf("%d nodes wait %v, want %v", nodes, got, want)
+// After a call that failed the next poll must be a short one: a network that swallows it too would else keep the node
+// from asking once more before what discovery knows counts as told. A call that is made anew as discovery has moved is
+// short as well, for the new address may be silent. One that was answered ends that.
+func TestPollsProveThemselvesAfterAFailure(t *testing.T) {
+	d, next := NewDiscoveryServer(t), NewDiscoveryServer(t)
+	reports := make(chan *endpoints.List, 10)
+	watched := New(d.Listener.Addr().String(), place(), Quiet(), func(l *endpoints.List) { reports <- l })
+	waits := func(d *DiscoveryServer, call int) time.Duration {
+		t.Helper()
+		WaitFor(t, "a call comes", func() bool { return d.Calls() > call })
+		q, err := url.ParseQuery(d.Query(call))
+		if err != nil {
+			t.Fatal(err)
+		}
+		ms, err := strconv.Atoi(q.Get("timeout_ms"))
+		if err != nil {
+			t.Fatalf("asked %q", d.Query(call))
 		}
+		return time.Duration(ms) * time.Millisecond
 	}
+	since := uint64(3)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		watched.RunWatch(ctx, &since)
+	}()
+	const short = 2 * time.Second
+	watched.SetWatch(true)
+	if got := waits(d, 0); got <= short {
+		t.Errorf("the first poll waits %v", got)
+	}
+	d.Tell(t, "")
+	<-reports
+	watched.SetWatch(true)
+	if got := waits(d, 1); got > short {
+		t.Errorf("after a failure a poll waits %v", got)
+	}
+	d.Tell(t, ListOf(4, false))
+	<-reports
+	if got := waits(d, 2); got <= short {
+		t.Errorf("after an answer a poll waits %v", got)
+	}
+	watched.Move(next.Listener.Addr().String())
+	if got := waits(next, 0); got > short {
+		t.Errorf("at a new address the poll waits %v", got)
+	}
+	cancel()
+	<-done
+}
+
+// A node that has a list and asks for the whole in doubt must not lose by that what it has: if the call fails, the next
+// one is for the changes, which costs discovery little and is answered sooner.
+func TestAWholeListInVainKeepsTheGeneration(t *testing.T) {
+	d := NewDiscoveryServer(t)
+	reports := make(chan *endpoints.List, 10)
+	watched := New(d.Listener.Addr().String(), place(), Quiet(), func(l *endpoints.List) { reports <- l })
+	since := uint64(7)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		watched.RunWatch(ctx, &since)
+	}()
+	watched.SetWatch(true)
+	WaitFor(t, "the watch begins", func() bool { return d.Calls() == 1 })
+	watched.Renew(true)
+	WaitFor(t, "the whole is asked for", func() bool { return d.Calls() == 2 })
+	if q := d.Query(1); q != "" {
+		t.Errorf("asked %q for the whole", q)
+	}
+	d.Tell(t, "")
+	<-reports
+	watched.SetWatch(true)
+	WaitFor(t, "the watch goes on", func() bool { return d.Calls() == 3 })
+	if q := d.Query(2); !strings.HasPrefix(q, "since=7&") {
+		t.Errorf("then asked %q", q)
+	}
+	cancel()
+	<-done
 }
 
 // When discovery moves, the watch must go on at the new address at once and from
@@ -47,7 +126,7 @@
 func TestWatchMovesWithDiscovery(t *testing.T) {
 	old, next := NewDiscoveryServer(t), NewDiscoveryServer(t)
 	reports := make(chan *endpoints.List, 10)
-	d := New(old.Listener.Addr().String(), 1, Quiet(), func(l *endpoints.List) { reports <- l })
+	d := New(old.Listener.Addr().String(), place(), Quiet(), func(l *endpoints.List) { reports <- l })
 	since := uint64(3)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
@@ -95,7 +174,7 @@
 				io.WriteString(c, parts[0])
 				Endless(parts[1], sent)(c)
 			})
-			d := New(address, 1, Quiet(), nil)
+			d := New(address, place(), Quiet(), nil)
 			if l, err := d.call(t.Context(), "", Patience); err == nil {
 				t.Errorf("took %v for a list", l)
 			}
