Keep the answer of a call to discovery that is made anew: it may be written already

Cause: found by reading, confirmed by a forced test: Renew and a move by SIGHUP called the call off that was out, and an answer that came in the same moment as a renewal was dropped unread. Signs that a list is old come just when servers drain, so the two cross often. At fault: watchOnce and service.call in discovery.go.

Mend: the call before goes on beside the newer one, until that was answered and 250 ms more; of the two the older list is dropped. The watch is a machine of its own (watch.go), with two calls out at the most.

Result: TestAnswersCrossCallsMadeAnew stops an answer half way, makes the watch anew in each of three ways and goes on; it fails in all three with the call called off. TestOneCallIsLeftOfTwo fails without the end of the call before. TestWatchMovesWithDiscovery now waits until the second call is there, as the first may still be out for a moment; what it asserts is the same.

--- a/internal/node/discovery/discovery.go
+++ b/internal/node/discovery/discovery.go
@@ -56,7 +56,7 @@
 			DialContext:         (&net.Dialer{Timeout: callConnect}).DialContext,
 			DisableCompression:  true,
 			MaxIdleConnsPerHost: 1,
-			MaxConnsPerHost:     2, // a watch and a fetch
+			MaxConnsPerHost:     3, // two calls of a watch and a fetch
 
 			MaxResponseHeaderBytes: mostListHead,
 		}},
@@ -80,7 +80,8 @@
 }
 
 // Move makes all calls at another address from now on. Those that are under way
-// at the old one are made anew; their end is no failure.
+// at the old one are made anew, and their end is no failure; what the old address has
+// written by then still counts.
 func (d *Discovery) Move(address string) {
 	old := d.service.Swap(newService(address))
 	old.leave()
@@ -103,8 +104,8 @@
 func (d *Discovery) From(generation uint64) { d.from.Store(&generation) }
 
 // Renew has the watch begin anew, from the newest generation: the network may have swallowed it; or with the whole
-// list. It is one call after the other, so that no list overtakes a newer one. It does not block; only the loop
-// calls it.
+// list. The call before goes on beside it for a while, for its answer may be on its way. It does not block; only the
+// loop calls it.
 func (d *Discovery) Renew(whole bool) {
 	select {
 	case was := <-d.renew:
@@ -115,7 +116,7 @@
 }
 
 // whole asks for the whole list, for as long as is worth waiting for: no longer than most, unless that is 0.
-func (d *Discovery) whole(ctx context.Context, most time.Duration) (*endpoints.List, error) {
+func (d *Discovery) whole(ctx context.Context, ask asks, most time.Duration) (*endpoints.List, error) {
 	d.mu.Lock()
 	wait := d.asking.Patience()
 	d.mu.Unlock()
@@ -123,7 +124,7 @@
 		wait = min(wait, most)
 	}
 	begun := time.Now()
-	l, err := d.call(ctx, "", wait)
+	l, err := ask(ctx, "", wait)
 	took := time.Since(begun)
 	if ctx.Err() == nil && !errors.Is(err, errMoved) {
 		d.mu.Lock()
@@ -149,9 +150,9 @@
 			return
 		case <-d.fetch:
 		}
-		l, err := d.whole(ctx, 0)
+		l, err := d.whole(ctx, d.call, 0)
 		for errors.Is(err, errMoved) {
-			l, err = d.whole(ctx, 0)
+			l, err = d.whole(ctx, d.call, 0)
 		}
 		if ctx.Err() != nil {
 			return
@@ -163,112 +164,19 @@
 	}
 }
 
-// watch is a watch as RunWatch keeps it.
-type watch struct {
-	on, wanted bool
-	since      *uint64 // the generation that this node has; nil: none
-	whole      bool    // the next call is for the whole list all the same
-	lost       bool    // the last call failed
-}
-
-// RunWatch keeps the watch, while it is wanted, until the context ends. A call
-// that fails ends the watch: the module decides when to ask again.
-// A watch that waits for that in vain at an old address begins anew with a move.
-func (d *Discovery) RunWatch(ctx context.Context, since *uint64) {
-	w := watch{since: since}
-	for ctx.Err() == nil {
-		at := d.service.Load()
-		if w.on {
-			if from := d.from.Swap(nil); w.since == nil {
-				w.since = from
-			}
-			d.watchOnce(ctx, &w)
-			continue
-		}
-		select {
-		case w.on = <-d.watch:
-			w.wanted = w.on
-		case <-at.left.Done():
-			w.on = w.wanted
-		case <-ctx.Done():
-		}
-	}
-}
-
-// watchOnce makes one call of a watch. Turning the watch off ends the call.
-func (d *Discovery) watchOnce(life context.Context, w *watch) {
-	ctx, cancel := context.WithCancel(life)
-	defer cancel()
-	select {
-	case whole := <-d.renew: // this call is as new as any
-		w.whole = w.whole || whole
-	default:
-	}
-	whole := w.whole || w.since == nil
-	w.whole = false
-	type end struct{ off, renewed, whole bool }
-	ended := make(chan end, 1)
-	go func() { // ends with this call
-		for {
-			select {
-			case on := <-d.watch:
-				if !on {
-					ended <- end{off: true}
-					cancel()
-					return
-				}
-			case again := <-d.renew:
-				if whole {
-					continue // a call for the whole list is out
-				}
-				ended <- end{renewed: true, whole: again}
-				cancel()
-				return
-			case <-ctx.Done():
-				ended <- end{}
-				return
-			}
-		}
-	}()
-	var l *endpoints.List
-	var err error
-	switch {
-	case whole && w.since == nil:
-		l, err = d.whole(ctx, 0)
-	case whole:
-		l, err = d.whole(ctx, wholeWait)
-	default:
-		wait, patience := d.poll(time.Duration(time.Now().UnixNano()), w.lost)
-		l, err = d.call(ctx, fmt.Sprintf("?since=%d&timeout_ms=%d", *w.since, wait.Milliseconds()), patience)
-	}
-	cancel()
-	e := <-ended
-	w.on, w.wanted = true, true
-	switch {
-	case life.Err() != nil:
-	case e.off:
-		w.on, w.wanted = false, false
-	case e.renewed:
-		w.whole = e.whole
-	case errors.Is(err, errMoved): // no failure; but the new address has yet to prove itself
-		w.whole, w.lost = whole && w.since != nil, true
-	case err != nil:
-		d.log.Warn("the watch failed", "err", err)
-		w.on, w.lost = false, true
-		d.report(nil)
-	default:
-		w.since, w.lost = &l.Generation, false
-		d.report(l)
-	}
-}
-
 // errMoved says that discovery has moved while a call was out.
 var errMoved = errors.New("discovery has moved")
 
+// asks makes one call.
+type asks func(ctx context.Context, query string, wait time.Duration) (*endpoints.List, error)
+
 // call asks discovery. One that is out while discovery moves elsewhere ends with errMoved.
 func (d *Discovery) call(ctx context.Context, query string, wait time.Duration) (*endpoints.List, error) {
 	at := d.service.Load()
-	l, err := at.call(ctx, query, wait)
+	staying, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(at.left, cancel)()
+	l, err := at.call(staying, query, wait)
 	if err != nil && ctx.Err() == nil && at.left.Err() != nil {
 		return nil, errMoved
 	}
@@ -278,7 +186,6 @@
 func (s *service) call(ctx context.Context, query string, wait time.Duration) (*endpoints.List, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
-	defer context.AfterFunc(s.left, cancel)()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.address+"/v1/endpoints"+query, nil)
 	if err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
--- a/internal/node/discovery/discovery_test.go
+++ b/internal/node/discovery/discovery_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"net/url"
 	"strconv"
 	"strings"
@@ -27,14 +29,26 @@
 		return 50 * time.Millisecond, 100 * time.Millisecond
 	}
 	since := uint64(3)
-	w := watch{on: true, wanted: true, since: &since}
-	watched.watchOnce(t.Context(), &w)
-	if w.on || !w.wanted || *w.since != 3 || !w.lost {
-		t.Errorf("the watch is %+v, from %d", w, *w.since)
-	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		watched.RunWatch(ctx, &since)
+	}()
+	watched.SetWatch(true)
 	if l := <-reports; l != nil {
 		t.Errorf("reported %v", l)
 	}
+	if d.Calls() != 1 {
+		t.Errorf("%d calls, though the module has not asked again", d.Calls())
+	}
+	watched.SetWatch(true)
+	WaitFor(t, "the watch begins anew", func() bool { return d.Calls() == 2 })
+	if q := d.Query(1); !strings.HasPrefix(q, "since=3&") {
+		t.Errorf("asked with %q", q)
+	}
+	cancel()
+	<-done
 }
 
 // After a call that failed the next poll must be a short one: a network that swallows it too would else keep the node
@@ -150,7 +164,8 @@
 		t.Errorf("reported %v, want a failed call", l)
 	}
 	d.Move(old.Listener.Addr().String())
-	old.Tell(t, ListOf(5, false)) // the new watch: the first call here has ended
+	WaitFor(t, "the watch is back", func() bool { return old.Calls() == 2 })
+	old.Tell(t, ListOf(5, false))
 	if l := <-reports; l == nil || l.Generation != 5 {
 		t.Errorf("reported %v, want the list of the address moved back to", l)
 	}
@@ -182,3 +197,161 @@
 		})
 	}
 }
+
+// heldServer is a discovery whose calls the test answers byte by byte. What it is sent on a call's channel is written at
+// once; an empty text ends the call.
+type heldServer struct {
+	address string
+	calls   chan heldCall
+}
+
+type heldCall struct {
+	query string
+	text  chan string
+	done  chan struct{} // closed as the call ends
+}
+
+// write writes to the call, unless its caller has ended it.
+func (c heldCall) write(t *testing.T, text string) {
+	t.Helper()
+	select {
+	case c.text <- text:
+	case <-c.done:
+		t.Errorf("the call %q has been given up before its answer", c.query)
+	}
+}
+
+func newHeldServer(t *testing.T) *heldServer {
+	t.Helper()
+	s := &heldServer{calls: make(chan heldCall, 16)}
+	end := make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c := heldCall{r.URL.RawQuery, make(chan string), make(chan struct{})}
+		defer close(c.done)
+		s.calls <- c
+		for {
+			select {
+			case text := <-c.text:
+				if text == "" {
+					return
+				}
+				io.WriteString(w, text)
+				w.(http.Flusher).Flush()
+			case <-r.Context().Done():
+				return
+			case <-end:
+				return
+			}
+		}
+	}))
+	s.address = server.Listener.Addr().String()
+	t.Cleanup(func() {
+		close(end)
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return s
+}
+
+func (s *heldServer) call(t *testing.T) heldCall {
+	t.Helper()
+	select {
+	case c := <-s.calls:
+		return c
+	case <-time.After(Patience):
+		t.Fatal("no call came")
+		return heldCall{}
+	}
+}
+
+// What discovery has written counts as told from then on. A watch that is made anew just then, as failing servers or a
+// new configuration want it, must not throw the answer away that is on its way: the new call may have to wait in turn for
+// longer than a node may go on sending. Either order is forced: half of the answer is written before, the rest after.
+func TestAnswersCrossCallsMadeAnew(t *testing.T) {
+	for name, anew := range map[string]func(d *Discovery, next *heldServer){
+		"signs that the list is old": func(d *Discovery, _ *heldServer) { d.Renew(false) },
+		"doubts of a list":           func(d *Discovery, _ *heldServer) { d.Renew(true) },
+		"a new configuration":        func(d *Discovery, next *heldServer) { d.Move(next.address) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, next := newHeldServer(t), newHeldServer(t)
+			reports := make(chan *endpoints.List, 10)
+			d := New(s.address, place(), Quiet(), func(l *endpoints.List) { reports <- l })
+			since := uint64(3)
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				d.RunWatch(ctx, &since)
+			}()
+			d.SetWatch(true)
+			first := s.call(t)
+			text := ListOf(4, false, "127.0.0.1:1 DRAINING")
+			first.write(t, text[:10])
+			anew(d, next)
+			var second heldCall // it waits in turn, and is not answered at all
+			if name == "a new configuration" {
+				second = next.call(t)
+			} else {
+				second = s.call(t)
+			}
+			first.write(t, text[10:])
+			first.write(t, "")
+			select {
+			case l := <-reports:
+				if l == nil || l.Generation != 4 || len(l.Entries) != 1 {
+					t.Errorf("reported %v", l)
+				}
+			case <-time.After(Patience):
+				t.Error("the answer is lost")
+			}
+			// The second call was begun before that: an older list of its is no news.
+			second.write(t, ListOf(3, second.query == "", "127.0.0.1:1"))
+			second.write(t, "")
+			WaitFor(t, "the watch goes on", func() bool { return len(s.calls)+len(next.calls) > 0 })
+			if len(reports) > 0 {
+				t.Errorf("an older list was reported: %v", <-reports)
+			}
+			cancel()
+			<-done
+		})
+	}
+}
+
+// The call before must end soon after a newer one was answered, or a node would hold two at discovery for good.
+func TestOneCallIsLeftOfTwo(t *testing.T) {
+	s := newHeldServer(t)
+	reports := make(chan *endpoints.List, 10)
+	d := New(s.address, place(), Quiet(), func(l *endpoints.List) { reports <- l })
+	d.poll = func(time.Duration, bool) (wait, patience time.Duration) { return time.Minute, 2 * Patience }
+	since := uint64(3)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		d.RunWatch(ctx, &since)
+	}()
+	d.SetWatch(true)
+	first := s.call(t)
+	d.Renew(false)
+	second := s.call(t)
+	second.write(t, ListOf(4, false))
+	second.write(t, "")
+	if l := <-reports; l == nil || l.Generation != 4 {
+		t.Fatalf("reported %v", l)
+	}
+	third := s.call(t)
+	if !strings.HasPrefix(third.query, "since=4&") {
+		t.Errorf("goes on with %q", third.query)
+	}
+	select {
+	case <-first.done:
+	case <-time.After(Patience):
+		t.Error("the first call is still out")
+	}
+	if len(s.calls) > 0 || len(reports) > 0 {
+		t.Errorf("%d more calls, %d more reports", len(s.calls), len(reports))
+	}
+	cancel()
+	<-done
+}
--- /dev/null
+++ b/internal/node/discovery/watch.go
@@ -0,0 +1,160 @@
+package discovery
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"curlewring/internal/servers/endpoints"
+)
+
+// overlap is how long the call before goes on once a newer one has been answered: what discovery wrote on it at the same
+// time has come by then.
+const overlap = 250 * time.Millisecond
+
+// watch is a watch as RunWatch keeps it. It belongs to that goroutine.
+type watch struct {
+	*Discovery
+	on, wanted bool
+	since      *uint64 // the generation that this node has; nil: none
+	whole      bool    // the next call is for the whole list all the same
+	lost       bool    // the last call failed, or discovery is new
+
+	newest *poll // nil: none is out
+	before *poll // one that was made anew: its answer may be on its way, and has counted as told since it was written
+	limit  *time.Timer
+	ended  chan ended
+	out    sync.WaitGroup
+}
+
+// poll is a call that is out.
+type poll struct {
+	whole  bool
+	since  *uint64
+	cancel context.CancelFunc
+}
+
+type ended struct {
+	*poll
+	list *endpoints.List
+	err  error
+}
+
+// RunWatch keeps the watch, while it is wanted, until the context ends. A call
+// that fails ends the watch: the module decides when to ask again.
+// A watch that waits for that in vain at an old address begins anew with a move.
+func (d *Discovery) RunWatch(ctx context.Context, since *uint64) {
+	ctx, cancel := context.WithCancel(ctx)
+	w := &watch{Discovery: d, since: since, ended: make(chan ended), limit: time.NewTimer(0)}
+	defer w.limit.Stop()
+	defer w.out.Wait()
+	defer cancel()
+	for {
+		at := d.service.Load()
+		if w.on && w.newest == nil {
+			w.begin(ctx, at)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case on := <-d.watch:
+			w.on, w.wanted = on, on
+			if !on {
+				w.newest = w.callOff(w.newest)
+				w.before = w.callOff(w.before)
+			}
+		case whole := <-d.renew:
+			if w.newest != nil && w.newest.whole {
+				continue // that is as much as can be asked for
+			}
+			w.whole = w.whole || whole
+			w.anew()
+		case <-at.left.Done(): // the new address has yet to prove itself
+			if w.newest != nil && w.newest.whole && w.since != nil {
+				w.whole = true
+			}
+			w.on, w.lost = w.wanted, true
+			w.anew()
+		case e := <-w.ended:
+			w.take(e)
+		case <-w.limit.C:
+			w.before = w.callOff(w.before)
+		}
+	}
+}
+
+// begin makes the next call.
+func (w *watch) begin(ctx context.Context, at *service) {
+	if from := w.from.Swap(nil); w.since == nil {
+		w.since = from
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	p := &poll{whole: w.whole || w.since == nil, since: w.since, cancel: cancel}
+	w.newest, w.whole = p, false
+	var call func() (*endpoints.List, error)
+	switch {
+	case p.since == nil:
+		call = func() (*endpoints.List, error) { return w.Discovery.whole(ctx, at.call, 0) }
+	case p.whole:
+		call = func() (*endpoints.List, error) { return w.Discovery.whole(ctx, at.call, wholeWait) }
+	default:
+		wait, patience := w.poll(time.Duration(time.Now().UnixNano()), w.lost)
+		query := fmt.Sprintf("?since=%d&timeout_ms=%d", *p.since, wait.Milliseconds())
+		call = func() (*endpoints.List, error) { return at.call(ctx, query, patience) }
+	}
+	w.out.Go(func() {
+		defer cancel()
+		l, err := call()
+		select {
+		case w.ended <- ended{p, l, err}:
+		case <-ctx.Done(): // called off
+		}
+	})
+}
+
+// callOff ends a call, if there is one; nothing that it brings is taken any more.
+func (w *watch) callOff(p *poll) *poll {
+	if p != nil {
+		p.cancel()
+	}
+	return nil
+}
+
+// anew lets the next call begin beside the one that is out. Two are out at the most.
+func (w *watch) anew() {
+	if w.newest == nil {
+		return
+	}
+	w.limit.Stop() // it was for the one before
+	w.callOff(w.before)
+	w.before, w.newest = w.newest, nil
+}
+
+// take takes the end of a call.
+func (w *watch) take(e ended) {
+	switch e.poll {
+	case w.before:
+		w.before = nil
+		if e.err != nil {
+			return // the newer one tells whether discovery answers
+		}
+	case w.newest:
+		w.newest = nil
+		if e.err != nil {
+			w.log.Warn("the watch failed", "err", e.err)
+			w.on, w.lost = false, true
+			w.report(nil)
+			return
+		}
+		w.lost = false
+		w.limit.Reset(overlap)
+	default:
+		return // called off as it ended
+	}
+	if e.since != w.since && w.since != nil && e.list.Generation < *w.since {
+		return // the other call has brought a newer one meanwhile
+	}
+	w.since = &e.list.Generation
+	w.report(e.list)
+}
