Order a client's end, a last answer and a repeat's window against what crosses them

- A client's end behind bytes: front looked with a peek, which bytes hide, and a request and its end in one edge came as one event, after which nobody looked.
The system's own word of the end (EPOLLRDHUP) is now an event of its own: nothing is handed on or kept for such a client.
(The transport with goroutines, for systems without epoll, still sees it only once the bytes are read.)
- A client that leaves while the loop is busy: attempts went by the loop's own mark.
- A last answer: the connection was closed at once where nothing was unread when looked at.
Bytes between look and close made it a reset, which can take the answer along.
Every last answer now ends in a lingering close; only what came over the budget of connections is closed at once.
- First bytes on a new connection that is closed for its time or for room are read instead, as was so for resting ones.
- A repeat of a keyed request was bound to its window when decided on, not when its last byte left, up to a connect time-out later.
Send now says by when (Action.Within), and the attempt looks after the dial and while it writes.

--- a/decide/api.go
+++ b/decide/api.go
@@ -267,6 +267,7 @@
 	Attempt int
 	Server  string
 	Wait    time.Duration
+	Within  time.Duration // Send: its last byte leaves within this, or it is not sent; 0: whenever
 	Token   uint64
 	Text    string
 }
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -650,7 +650,11 @@
 	}
 	c.attempts = append(c.attempts, a)
 	c.open++
-	b.act(Action{Kind: Send, Request: c.ID, Server: s.ID, Wait: left})
+	act := Action{Kind: Send, Request: c.ID, Server: s.ID, Wait: left}
+	if class := &b.set.Classes[c.Class]; c.ran && class.Effect == Keyed { // it may wait for a connection
+		act.Within = max(1, class.KeyTTL*9/10-(b.now-c.ranAt))
+	}
+	b.act(act)
 	if a.span >= 0 && due < left {
 		b.act(Action{Kind: After, Token: c.ID, Wait: due})
 	}
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -631,3 +631,43 @@
 		t.Errorf("only %d different pauses: the calls of a fleet fall together", len(pauses))
 	}
 }
+
+// Servers drop the repeats of a keyed request for a time alone, which runs on while a repeat waits for its connection: each
+// attempt after one that may have run must say by when its last byte has to leave, at the latest when the window ends. The
+// first attempt, and those of other effects, are bound by nothing but the client's time.
+func TestRepeatsSayByWhenTheyLeave(t *testing.T) {
+	const window = 400 * ms
+	for _, effect := range []Effect{Repeatable, Keyed} {
+		b := New(Settings{
+			Nodes: 1, MaxTries: 4, AnswerGrace: 10 * ms,
+			Classes: []Class{{Aim: time.Second, Deadline: 2 * time.Second, Worth: 1, Effect: effect, Group: GroupAll, KeyTTL: window}},
+		}, 1, 0)
+		b.Members(0, Members{Change: ListFull, Servers: []Server{{ID: "a"}, {ID: "b"}, {ID: "c"}}}, nil)
+		now, attempts := 10*ms, 0
+		first := now
+		out := b.Request(now, Request{ID: 1, Tenant: -1, TTL: 2 * time.Second}, nil)
+		for len(out) > 0 {
+			sent := false
+			for _, a := range out {
+				if a.Kind != Send {
+					continue
+				}
+				sent = true
+				repeat := effect == Keyed && attempts > 0
+				if (a.Within > 0) != repeat || repeat && now+a.Within > first+window {
+					t.Errorf("effect %v: attempt %d at %v must leave within %v", effect, attempts, now, a.Within)
+				}
+				now += 100 * ms
+				out = b.Outcome(now, Outcome{Request: 1, Attempt: attempts, Server: a.Server, Result: Broken, Elapsed: 100 * ms}, nil)
+				attempts++
+				break
+			}
+			if !sent {
+				break
+			}
+		}
+		if attempts < 3 {
+			t.Errorf("effect %v: only %d attempts", effect, attempts)
+		}
+	}
+}
--- a/internal/node/callers.go
+++ b/internal/node/callers.go
@@ -101,6 +101,7 @@
 // Gone takes back what a client asked that has left; it is front.Handler's.
 func (s *callers) Gone(open any) {
 	p := open.(*pending)
+	p.over.Store(true) // from this moment, however long the loop's turn may take
 	s.end(p.txn)
 	s.loop.post(departed{p})
 }
@@ -207,6 +208,7 @@
 	}
 	p.call = &upstream.Call{
 		Method: r.Method, URI: r.RequestURI, Host: r.Host, Txn: txn, Key: key, Kind: r.Header.Get("Content-Type"),
+		Over: &p.over,
 	}
 	if !strings.HasPrefix(p.call.URI, "/") || strings.HasPrefix(p.call.URI, "//") {
 		return nil, http.StatusBadRequest, "the target is no path"
--- /dev/null
+++ b/internal/node/crossing_test.go
@@ -0,0 +1,61 @@
+package node
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	. "curlewring/internal/node/nodetest"
+)
+
+// hold makes the loop stand still until the returned function is called.
+func (n *testNode) hold(t *testing.T) (release func()) {
+	t.Helper()
+	held, free := make(chan struct{}), make(chan struct{})
+	go n.loop.post(stepped{
+		step: func(time.Duration) (time.Duration, bool) { close(held); <-free; return 0, false },
+		done: make(chan result, 1),
+	})
+	select {
+	case <-held:
+	case <-time.After(Patience):
+		t.Fatal("the loop takes no step")
+	}
+	return func() { close(free) }
+}
+
+// A client that leaves while its request waits for the loop has gone from that moment: nothing may be sent for it, however
+// many requests stand before it, also where the loop hears of the request long before it hears of the end.
+func TestClientsThatLeaveABusyLoop(t *testing.T) {
+	s := NewServer(t, Say("fine"))
+	n := withServers(t, s)
+	if _, body := exchange(t, request(t, n.url, "/look/1", "")); body != "fine" {
+		t.Fatalf("answered %q", body)
+	}
+	was := s.Seen()
+	release := n.hold(t)
+	const clients = 50
+	var all []net.Conn
+	before := n.front.Stats()
+	for range clients {
+		c, err := net.Dial("tcp", n.Address().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(c, "GET /look/1 HTTP/1.1\r\nHost: app.svc\r\nX-Txn: "+NewID()+"\r\nX-Remaining-Ms: 15000\r\n\r\n")
+		all = append(all, c)
+	}
+	WaitFor(t, "all requests wait for the loop", func() bool { return n.front.Stats().Requests == before.Requests+clients })
+	for _, c := range all { // the loop hears of all requests before it hears of the first end
+		c.Close()
+	}
+	WaitFor(t, "all clients have left", func() bool { return n.front.Stats().PeerClosed >= before.PeerClosed+clients })
+	release()
+	if _, body := exchange(t, request(t, n.url, "/look/1", "")); body != "fine" {
+		t.Errorf("then answered %q", body)
+	}
+	if got := s.Seen() - was; got != 1 {
+		t.Errorf("%d requests came to the server, of which one has a client", got)
+	}
+}
--- a/internal/node/front/epoll_linux.go
+++ b/internal/node/front/epoll_linux.go
@@ -103,6 +103,9 @@
 				if e.Events&(unix.EPOLLIN|unix.EPOLLRDHUP) != 0 {
 					event.Ready |= Readable
 				}
+				if e.Events&unix.EPOLLRDHUP != 0 {
+					event.Ready |= Ended
+				}
 				if e.Events&unix.EPOLLOUT != 0 {
 					event.Ready |= Writable
 				}
--- a/internal/node/front/read.go
+++ b/internal/node/front/read.go
@@ -113,11 +113,15 @@
 		}
 		s.read(i, c)
 	case open:
+		if c.left {
+			s.gone(i, c)
+			return
+		}
 		if c.piped {
 			c.unread = true
 			return
 		}
-		// Its end is looked for; bytes wait for their turn, and hide it.
+		// Not all transports tell of its end: it is looked for. Bytes wait for their turn, and hide it.
 		switch err := s.set.Transport.Peek(c.socket); {
 		case err == nil:
 			c.piped, c.unread = true, true
@@ -327,6 +331,10 @@
 
 // whole hands a request over. rest is what came behind it.
 func (s *Server) whole(i int32, c *conn, r *http.Request, body, rest []byte) {
+	if c.left { // nobody waits for the answer
+		s.gone(i, c)
+		return
+	}
 	if s.wary && len(rest) == 0 {
 		// It came while the process stood still; who has left since then is not to be worked for.
 		if err := s.set.Transport.Peek(c.socket); err != nil && !errors.Is(err, ErrAgain) {
@@ -375,10 +383,17 @@
 
 // late ends a request that has not come whole in time.
 func (s *Server) late(i int32, c *conn) {
+	token := s.table.token(i)
 	if c.work != nil && c.work.request != nil {
 		s.fail(i, c, &fault{http.StatusRequestTimeout, "the body did not come"})
 		return
 	}
+	if s.looks(i, c) { // the first bytes came just now
+		if i, c = s.table.find(token); c != nil && c.state == reading && !s.wheel.Armed(i) {
+			s.wheel.Arm(i, s.now+RequestWait)
+		}
+		return
+	}
 	s.drop(i, c)
 }
 
--- a/internal/node/front/server.go
+++ b/internal/node/front/server.go
@@ -316,10 +316,15 @@
 		if e.Ready&Writable != 0 && c.state == writing {
 			s.flush(i, c)
 		}
+		if i, c = s.table.find(e.Token); c == nil {
+			continue
+		}
+		// The end may come in one event with the request before it, and behind bytes that nobody reads yet.
+		if e.Ready&Ended != 0 {
+			c.left = true
+		}
 		if e.Ready&Readable != 0 {
-			if i, c = s.table.find(e.Token); c != nil {
-				s.readable(i, c)
-			}
+			s.readable(i, c)
 		}
 	}
 }
@@ -432,7 +437,7 @@
 			return word
 		}
 		c := s.table.at(i)
-		if c.state == parked && tries < 4 && s.looks(i, c) {
+		if tries < 4 && s.looks(i, c) {
 			continue
 		}
 		s.stats.MadeRoom++
@@ -441,9 +446,10 @@
 	}
 }
 
-// looks tells whether bytes have come on a parked connection, and reads them.
+// looks tells whether bytes have come on a connection that is parked, or of which none have ever been read, and
+// reads them.
 func (s *Server) looks(i int32, c *conn) bool {
-	if s.set.Transport.Peek(c.socket) != nil {
+	if c.state != parked && (c.state != reading || c.work != nil) || s.set.Transport.Peek(c.socket) != nil {
 		return false
 	}
 	s.stats.BytesLooked++
--- a/internal/node/front/table.go
+++ b/internal/node/front/table.go
@@ -25,7 +25,8 @@
 	rules   uint8  // which of the rules its source is by
 	state   state
 	unread  bool // an event came that was not read to its end
-	piped   bool // bytes wait behind the open request: its client's end can't be seen
+	piped   bool // bytes wait behind the open request: a look does not show its client's end
+	left    bool // its client has ended its sending
 	crowded bool // it came over the budget: its requests are refused
 	posted  bool // the last request was a POST
 	kept    bool // the system looks whether its peer is still there
--- a/internal/node/front/transport.go
+++ b/internal/node/front/transport.go
@@ -11,6 +11,7 @@
 const (
 	Readable Ready = 1 << iota // bytes or the end of the peer's sending
 	Writable                   // only after WantWrite
+	Ended                      // the peer has ended its sending, whatever bytes of it are still to be read
 	Broken                     // reset; nothing more will come
 	Arrivals                   // connections wait to be accepted; of the listener
 )
--- a/internal/node/front/write.go
+++ b/internal/node/front/write.go
@@ -132,19 +132,20 @@
 func (s *Server) answered(i int32, c *conn) {
 	w := c.work
 	if c.closing {
-		if c.unread || len(w.buf) > 0 {
-			// Closing with bytes unread would reset the connection, and the answer with it.
-			s.set.Transport.CloseWrite(c.socket)
-			c.state = lingering
-			w.buf, w.request, w.body = nil, nil, nil
-			s.book(w, 0, 0)
-			s.book(w, 1, 0)
-			s.hold.Other(i)
-			s.wheel.Arm(i, s.now+lingerFor)
-			s.linger(i, c)
+		if c.crowded && !c.unread && len(w.buf) == 0 { // its descriptor is wanted at once
+			s.drop(i, c)
 			return
 		}
-		s.drop(i, c)
+		// A lingering close (RFC 9112, 9.6): closing over bytes unread would reset the connection, and take the answer
+		// along, and they may come right before the close.
+		s.set.Transport.CloseWrite(c.socket)
+		c.state = lingering
+		w.buf, w.request, w.body = nil, nil, nil
+		s.book(w, 0, 0)
+		s.book(w, 1, 0)
+		s.hold.Other(i)
+		s.wheel.Arm(i, s.now+lingerFor)
+		s.linger(i, c)
 		return
 	}
 	c.piped = false
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -56,6 +56,7 @@
 	txn      string        // its X-Txn, which is no longer open once it is answered
 	came     time.Duration // on the clock, whole
 	answered bool
+	over     atomic.Bool // it is answered, or its client has left: nothing goes out for it any more
 	attempts []*attempt
 	out      int    // attempts without an outcome
 	graph    *graph // its budget; nil: none
@@ -307,6 +308,10 @@
 		l.answer(p, answer{ending: refused})
 		return
 	}
+	if p.over.Load() { // its client has left while it waited for the loop, and departed follows
+		p.answered = true
+		return
+	}
 	p.request.ID = l.nextID
 	l.nextID++
 	p.request.TTL = max(0, p.deadline-answerMargin-l.now)
@@ -355,7 +360,7 @@
 // conclude marks a request as over: no attempt that has not begun goes out for it.
 func (l *loop) conclude(p *pending) {
 	p.answered = true
-	p.call.Over.Store(true)
+	p.over.Store(true)
 }
 
 // forget drops a request that is answered and has nothing out. Its timer may be
@@ -438,7 +443,7 @@
 	p.attempts = append(p.attempts, t)
 	p.out++
 	server := l.peers[a.Server]
-	if server == nil || p.answered {
+	if server == nil || p.over.Load() {
 		l.unsent = append(l.unsent, ended{attempt: t, Outcome: upstream.Outcome{Result: decide.NotSent, Closed: true}})
 		return
 	}
@@ -447,8 +452,12 @@
 		more = l.budgets.send(l.now, p.graph)
 	}
 	until := min(sent+a.Wait, p.deadline-safetyMargin)
+	by := until
+	if a.Within > 0 {
+		by = sent + a.Within
+	}
 	l.tries.Go(func() {
-		o := l.upstream.Attempt(&t.Ticket, &server.Peer, call, more, until)
+		o := l.upstream.Attempt(&t.Ticket, &server.Peer, call, more, by, until)
 		l.post(ended{attempt: t, Outcome: o, elapsed: l.clock.Now() - sent})
 	})
 }
--- a/internal/node/upstream/exchange.go
+++ b/internal/node/upstream/exchange.go
@@ -16,9 +16,10 @@
 )
 
 // Attempt sends a request to a server once and waits for the answer until a
-// point in time, or until it is called off.
+// point in time, or until it is called off. Unless its last byte has left by another,
+// it is not sent at all.
 // more are header lines of this attempt alone.
-func (u *Pool) Attempt(t *Ticket, p *Peer, q *Call, more string, until time.Duration) Outcome {
+func (u *Pool) Attempt(t *Ticket, p *Peer, q *Call, more string, by, until time.Duration) Outcome {
 	c := u.get(p)
 	dialled := time.Duration(0)
 	if c == nil {
@@ -35,7 +36,7 @@
 		}
 		dialled = u.clock.Now() - begun
 	}
-	o, keep := u.exchange(t, c, p, q, more, until)
+	o, keep := u.exchange(t, c, p, q, more, by, until)
 	if keep = keep && u.put(p, c); !keep {
 		c.close()
 	}
@@ -45,16 +46,17 @@
 
 // exchange makes an attempt on a connection, and tells whether the connection is
 // as it was.
-func (u *Pool) exchange(t *Ticket, c *conn, p *Peer, q *Call, more string, until time.Duration) (_ Outcome, keep bool) {
+func (u *Pool) exchange(t *Ticket, c *conn, p *Peer, q *Call, more string, by, until time.Duration) (_ Outcome, keep bool) {
 	// The connection may have taken a while: the server may drain by now, and
 	// the request may be over.
-	if q.Over.Load() || p.Closed.Load() || !t.waitOn(c, u.clock.Wall(until)) {
+	if q.over() || p.Closed.Load() || !t.waitOn(c, u.clock.Wall(until), u.clock.Wall(min(by, until))) {
 		return Outcome{Result: decide.NotSent}, false
 	}
 	defer t.leave()
 
-	left := until - u.clock.Now()
-	if left <= 0 {
+	now := u.clock.Now()
+	left := until - now
+	if left <= 0 || now > by {
 		return Outcome{Result: decide.NotSent}, false
 	}
 	message, err := q.Encode(c.message[:0], p.Address, more, left)
@@ -65,7 +67,7 @@
 		c.message = nil
 	}
 	if n, _ := c.Write(message); n < len(message) { // its last byte never left, so it can't run
-		if t.isOff() {
+		if t.isOff() || u.clock.Now() > by {
 			return Outcome{Result: decide.NotSent}, false
 		}
 		return Outcome{Result: decide.Unconnected}, false
--- a/internal/node/upstream/pool.go
+++ b/internal/node/upstream/pool.go
@@ -37,9 +37,11 @@
 	Txn, Key          string // X-Txn and Idempotency-Key
 	Kind              string // Content-Type
 	Body              []byte
-	Over              atomic.Bool // it has its answer, or its client has left
+	Over              *atomic.Bool // it has its answer, or its client has left
 }
 
+func (q *Call) over() bool { return q.Over != nil && q.Over.Load() }
+
 // Response is the body of a server's answer.
 type Response struct {
 	Kind string // Content-Type
--- a/internal/node/upstream/ticket.go
+++ b/internal/node/upstream/ticket.go
@@ -52,9 +52,9 @@
 	}
 }
 
-// waitOn says which connection the attempt waits on until a point in time, and
-// returns false if it has been called off.
-func (t *Ticket) waitOn(c *conn, until time.Time) bool {
+// waitOn says which connection the attempt waits on until a point in time, having
+// written by another, and returns false if it has been called off.
+func (t *Ticket) waitOn(c *conn, until, written time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.off {
@@ -62,6 +62,9 @@
 	}
 	t.conn = c
 	c.SetDeadline(until)
+	if written.Before(until) {
+		c.SetWriteDeadline(written)
+	}
 	return true
 }
 
