Let what a node knows of its rate fade: after a lull all nodes sent to a cold server at once

Suspect: chances to send to a cold server are saved up by each node.

Cause: own() read the rate of answers as of the last one. Between two it did not fade, so a node that sees few took itself for one that has at least 0.2 a second, and its part of the budget grew in the lull.

--- /dev/null
+++ b/decide/cold_test.go
@@ -0,0 +1,105 @@
+package decide
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+)
+
+// burst plays nodes before one server, which all of them have kept busy: it starts anew, no requests come for a lull, and
+// then each node gets some at once. It returns the most that the server is sent in a window, and what it may be.
+func burst(nodes int, busy float64, lull time.Duration, each int, seed uint64) (worst, bound float64) {
+	set := Settings{
+		Nodes: nodes, MaxTries: 4, ColdFrom: 0.3, ColdFor: 8400 * ms, FallMultiple: 2.5, FallFor: time.Second, AnswerGrace: 10 * ms,
+		Tier: 1, Tiers: 2, // below the front nothing is refused for the time it takes
+		Classes: []Class{{Aim: 3 * time.Second, Deadline: 3 * time.Second, Worth: 1}},
+	}
+	const warm, start = 30 * time.Second, 60 * time.Second
+	all := make([]*Balancer, nodes)
+	for i := range all {
+		set.Node = i
+		all[i] = New(set, seed*1000+uint64(i), 0)
+		all[i].Members(0, Members{Change: ListFull, Servers: []Server{{ID: "a"}}}, nil)
+		every := time.Duration(float64(nodes) / busy * float64(time.Second))
+		id := uint64(0)
+		for now := warm + every*time.Duration(i)/time.Duration(nodes); now < start; now += every {
+			id++
+			all[i].Request(now, Request{ID: id, Tenant: -1, TTL: 3 * time.Second}, nil)
+			all[i].Outcome(now+20*ms, Outcome{Request: id, Server: "a", Result: Served, Elapsed: 20 * ms, Final: true}, nil)
+		}
+		all[i].Members(start, Members{Change: ListDiff, Servers: []Server{{ID: "a", Started: start}}}, nil)
+	}
+	type due struct {
+		node int
+		id   uint64
+	}
+	var sent []time.Duration
+	waits := map[time.Duration][]due{}
+	take := func(now time.Duration, node int, id uint64, out []Action) {
+		for _, a := range out {
+			switch a.Kind {
+			case Send:
+				sent = append(sent, now)
+				all[node].Outcome(now, Outcome{Request: id, Server: "a", Result: Served, Elapsed: 20 * ms, Final: true}, nil)
+			case After:
+				at := now + max(a.Wait, ms)
+				waits[at] = append(waits[at], due{node, id})
+			}
+		}
+	}
+	begin := start + lull
+	for i := range all {
+		for k := range each {
+			id := uint64(1_000_000 + k)
+			take(begin, i, id, all[i].Request(begin, Request{ID: id, Tenant: -1, TTL: 2 * time.Second}, nil))
+		}
+	}
+	for now := begin; now < begin+2*time.Second; now += ms {
+		for _, d := range waits[now] {
+			take(now, d.node, d.id, all[d.node].Timer(now, Timer{d.id}, nil))
+		}
+	}
+	for i, at := range sent {
+		n := 0
+		for _, x := range sent[i:] {
+			if x < at+set.FallFor && x < start+set.ColdFor { // none that is warm falls
+				n++
+			}
+		}
+		warmth := set.ColdFrom + (1-set.ColdFrom)*min(1, float64(at-start)/float64(set.ColdFor))
+		if calls := set.FallMultiple * warmth * busy; warmth < 1 && float64(n)/(calls+2*math.Sqrt(calls)+2) > worst/max(bound, 1e-9) {
+			worst, bound = float64(n), calls+2*math.Sqrt(calls)+2
+		}
+	}
+	return worst, bound
+}
+
+// Many nodes before one cold server, and a lull: each node goes by how many answers a second it has had, and that has to
+// fade with time. Read as of the last answer it is far too much for nodes that see few, and all of them save up a chance to
+// send in the lull, which they use at once as requests come again.
+func TestALullIsNoCapacity(t *testing.T) {
+	for _, c := range []struct {
+		nodes int
+		busy  float64
+		lull  time.Duration
+	}{{20, 3, 7 * time.Second}, {30, 5, 7 * time.Second}, {30, 5, 5 * time.Second}, {60, 10, 7 * time.Second}, {300, 40, 7 * time.Second}} {
+		t.Run(fmt.Sprintf("%d nodes, %v a second, %v", c.nodes, c.busy, c.lull), func(t *testing.T) {
+			over, part := 0, 0.0
+			for seed := range uint64(10) {
+				worst, bound := burst(c.nodes, c.busy, c.lull, 3, seed)
+				part = max(part, worst/bound)
+				if worst > bound {
+					over++
+				}
+			}
+			t.Logf("worst window %.2f of the bound; above it in %d of 10", part, over)
+			if over > 0 {
+				t.Errorf("in %d of 10 plays the server is sent more than chance explains, up to %.2f of it", over, part)
+			}
+			if part < 0.1 {
+				t.Error("nothing to speak of is sent")
+			}
+		})
+	}
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -801,7 +801,7 @@
 func (b *Balancer) own(s *server, safety float64) float64 {
 	subset, members := float64(max(1, len(b.near)+len(b.far))), float64(max(1, b.members()))
 	sharing := max(1, float64(b.set.Nodes)*subset/members)
-	rate := max(b.rate/subset, b.before) * safety * b.set.FallMultiple * b.cold(s)
+	rate := max(b.answers()/subset, b.before) * safety * b.set.FallMultiple * b.cold(s)
 	return max(rate, 1/sharing/b.set.FallFor.Seconds())
 }
 
@@ -1031,9 +1031,7 @@
 func (b *Balancer) judge(s *server, r Result) {
 	switch r {
 	case Served:
-		memory := rateMemory.Seconds()
-		b.rate = b.rate*math.Exp(-(b.now-b.rateAt).Seconds()/memory) + 1/memory
-		b.rateAt = b.now
+		b.rate, b.rateAt = b.answers()+1/rateMemory.Seconds(), b.now
 		s.served()
 		s.zone.served()
 	case TimedOut, Unconnected, Broken, Errored: // errors in a row are the server's own, not its zone's
--- a/decide/pool.go
+++ b/decide/pool.go
@@ -66,7 +66,7 @@
 		}
 		calls := 0.0
 		if s.near {
-			calls = max(b.rate/float64(max(1, len(b.near)+len(b.far))), b.before)
+			calls = max(b.answers()/float64(max(1, len(b.near)+len(b.far))), b.before)
 		}
 		to = append(to, Cold{
 			Server: s.ID, Zone: s.Zone, Started: s.Started, Rate: b.own(s, coldPooled),
--- a/decide/rows.go
+++ b/decide/rows.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 )
 
@@ -10,6 +11,12 @@
 // byRing orders servers by their place on the ring.
 func byRing(x, y *server) int { return cmp.Or(cmp.Compare(x.rank, y.rank), cmp.Compare(x.ID, y.ID)) }
 
+// answers is how many a second have come of late. Between two it fades: read as of the last one, it would tell a node that
+// sees few of at least one in rateMemory.
+func (b *Balancer) answers() float64 {
+	return b.rate * math.Exp(-(b.now-b.rateAt).Seconds()/rateMemory.Seconds())
+}
+
 // members is the number of servers that may be sent to.
 func (b *Balancer) members() int { return len(b.homes) + len(b.others) }
 
--- a/internal/rig/virtual/boxes.go
+++ b/internal/rig/virtual/boxes.go
@@ -200,6 +200,8 @@
 		sum += b.fall[i].work
 	}
 	can := float64(r.set.FallFor) * float64(b.cores) * b.speed * r.warmth(b)
+	calls := r.set.FallMultiple * can / float64(r.c.meanWork())
+	r.result.ColdWindow = max(r.result.ColdWindow, float64(sum)/float64(r.c.meanWork())/(calls+2*math.Sqrt(calls)+2))
 	r.result.Crowded = max(r.result.Crowded, float64(sum)/(1.1*r.set.FallMultiple*can+float64(2*work)))
 	if float64(sum) > 1.1*r.set.FallMultiple*can+float64(2*work) {
 		b.fallen = true
--- /dev/null
+++ b/internal/rig/virtual/cold_test.go
@@ -0,0 +1,71 @@
+package virtual
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// lull is a day on which boxes start cold in a lull, after which all traffic is back at once.
+func lull(nodes int, kinds []Kind, part float64, seed uint64) Config {
+	c := mass()
+	c.Seed, c.Nodes = seed, nodes
+	if kinds != nil {
+		c.Kinds = kinds
+	}
+	c.Rate = c.Capacity() * 0.6
+	c.Length = 11 * time.Second
+	c.Steps = append(replaced(part, 3*time.Second, time.Second, 1), Step{At: 4500 * time.Millisecond, Rate: 0.03},
+		Step{At: 7 * time.Second, Rate: 1.3})
+	return c
+}
+
+// What all nodes together send a cold box in any window stays within what the rule allows and what chance explains, also
+// right after a lull: chances that nobody used are not saved up by every node, to be used by all of them at once. The
+// small boxes may be sent less than one request a node.
+func TestColdBoxesAfterALull(t *testing.T) {
+	usual := []Kind{{Count: 6, Cores: 2, Speed: 1.6}, {Count: 10, Cores: 2, Speed: 0.97}, {Count: 8, Cores: 2, Speed: 0.6}}
+	small := []Kind{{Count: 12, Cores: 1, Speed: 0.5}}
+	among := []Kind{{Count: 6, Cores: 2, Speed: 1.6}, {Count: 6, Cores: 1, Speed: 0.3}}
+	for _, day := range []struct {
+		name  string
+		nodes int
+		kinds []Kind
+		part  float64 // of the boxes that start anew
+	}{
+		{"20 nodes, four in ten cold", 20, usual, 0.4},
+		{"30 nodes, four in ten cold", 30, usual, 0.4},
+		{"300 nodes, four in ten cold", 300, nil, 0.4},
+		{"20 nodes, small boxes, four in ten cold", 20, small, 0.4},
+		{"30 nodes, small boxes, four in ten cold", 30, small, 0.4},
+		{"30 nodes, small boxes among others, four in ten cold", 30, among, 0.4},
+		{"20 nodes, all cold", 20, usual, 0.95},
+		{"30 nodes, all cold", 30, usual, 0.95},
+		{"300 nodes, all cold", 300, nil, 0.95},
+		{"20 nodes, small boxes, all cold", 20, small, 0.95},
+		{"30 nodes, small boxes, all cold", 30, small, 0.95},
+		{"30 nodes, small boxes among others, all cold", 30, among, 0.95},
+	} {
+		seeds := 1
+		if long() {
+			seeds = 10
+		}
+		var worst []float64
+		toCold, service := 0, 0.0
+		for seed := range seeds {
+			c := lull(day.nodes, day.kinds, day.part, uint64(seed)+1)
+			r := Run(c)
+			worst = append(worst, r.ColdWindow)
+			toCold += r.ToCold
+			service += r.Service / float64(seeds)
+		}
+		slices.Sort(worst)
+		t.Logf("| %s | %.2f | %.2f | %d | %.4f |", day.name, worst[len(worst)-1], worst[len(worst)/2], toCold/seeds, service)
+		if worst[len(worst)-1] > 1 {
+			t.Errorf("%s: a window has %.2f times what is allowed", day.name, worst[len(worst)-1])
+		}
+		if toCold == 0 {
+			t.Errorf("%s: nothing was sent to cold boxes", day.name)
+		}
+	}
+}
--- a/internal/rig/virtual/config.go
+++ b/internal/rig/virtual/config.go
@@ -108,16 +108,22 @@
 
 // Capacity is how many requests a second the first tier can do.
 func (c *Config) Capacity() float64 {
-	cores, work, share := 0.0, 0.0, 0.0
+	cores := 0.0
 	for _, k := range c.Kinds {
 		cores += float64(k.Count*k.Cores) * k.Speed
 	}
+	return cores / c.meanWork().Seconds()
+}
+
+// meanWork is the work of a request on average, on a core of speed 1.
+func (c *Config) meanWork() time.Duration {
+	work, share := 0.0, 0.0
 	for _, x := range c.Classes {
 		heavy := 1 + x.HeavyShare*(x.HeavyTimes-1)
 		work += x.Share * x.Work.Seconds() * heavy
 		share += x.Share
 	}
-	return cores / (work / share)
+	return time.Duration(work / share * float64(time.Second))
 }
 
 // ClassResult counts the requests of a class.
@@ -147,6 +153,7 @@
 	Breaches    []string
 	Handshakes  int           // attempts for which a node had no idle connection to the box
 	Crowded     float64       // the most work sent to a cold box in a window, to what the rule lets all nodes send; see tooMuch
+	ColdWindow  float64       // the same in requests of mean work, to N + 2 x root(N) + 2, N being what the rule lets all nodes send
 	Fallen      int           // cold boxes that were sent too much
 	Claims      int           // of pooled budgets
 	Dealt       int           // sends dealt out of them
