Follow pushed lists: where an agent has them nobody watched it

Cause: the module asks for lists only where the settings say so (MustAsk), and the node made calls only when the module asked. With registry_mode "automatic" it went by its first list for good.

Mend: there the watch on the agent begins with the process and goes on by itself. What an agent has counts as told at once, and it is silent while discovery is down: a poll waits 0.2 s, is lost after 0.3, and is made again after 50 ms. An unknown registry_mode ends the start; before it meant pushed.

Result: TestNodeFollowsPushedLists and TestPushedListsAreFollowed fail without.

--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -59,3 +60,35 @@
 		t.Errorf("%d requests came to the server, of which one has a client", got)
 	}
 }
+
+// Where the settings say that lists are pushed the address is an agent's, and what it has counts as told whether or not
+// anybody asked: the node must follow it from its start, though the module asks for nothing.
+func TestNodeFollowsPushedLists(t *testing.T) {
+	s, other := NewServer(t, Say("drains")), NewServer(t, Say("fine"))
+	d := NewDiscoveryServer(t)
+	text := configText(d.Listener.Addr().String(), ListOf(1, true, s.Addr()), 1024)
+	c, err := parseConfig([]byte(strings.Replace(text, `"subscribe"`, `"automatic"`, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := startNode(t, c)
+	d.Tell(t, ListOf(2, false, s.Addr()+" DRAINING", other.Addr()))
+	WaitFor(t, "the drain is known", func() bool {
+		_, body := exchange(t, request(t, n.url, "/look/1", ""))
+		return body == "fine"
+	})
+	before := s.Seen()
+	d.Tell(t, "") // a call that fails ends nothing
+	d.Tell(t, ListOf(3, false))
+	for range 20 {
+		if resp, body := exchange(t, request(t, n.url, "/look/1", "")); body != "fine" {
+			t.Fatalf("answered %s %q", resp.Status, body)
+		}
+	}
+	if s.Seen() != before {
+		t.Error("something new went to a server that drains")
+	}
+	if _, err := parseConfig([]byte(strings.Replace(text, `"subscribe"`, `"sometimes"`, 1))); err == nil || !strings.Contains(err.Error(), "registry_mode") || !strings.Contains(err.Error(), "sometimes") {
+		t.Errorf("an unknown way of lists: %v", err)
+	}
+}
--- a/internal/node/discovery/discovery.go
+++ b/internal/node/discovery/discovery.go
@@ -21,7 +21,9 @@
 	callConnect = time.Second
 	// A node that has a list asks for the whole only in doubt: one that gets none in this time asks for changes.
 	wholeWait    = 3500 * time.Millisecond
-	mostListSize = 1 << 20 // some 5000 servers; the smallest node has 32 MB for all it does
+	agentWhole   = 350 * time.Millisecond // the same of an agent, which answers at once
+	agentPause   = 50 * time.Millisecond  // between two calls of an agent that fail
+	mostListSize = 1 << 20                // some 5000 servers; the smallest node has 32 MB for all it does
 	mostListHead = 64 << 10
 )
 
@@ -34,6 +36,7 @@
 	renew   chan bool                                                          // the watch begins anew; true: with the whole list
 	fetch   chan struct{}                                                      // one call for the whole list
 	report  func(*endpoints.List)                                              // called with each answer; nil: a call failed
+	pushed  bool                                                               // an agent has the lists, and nobody asks for the watch
 	poll    func(wall time.Duration, lost bool) (wait, patience time.Duration) // PollSchedule.Wait; RunWatch's
 
 	mu     sync.Mutex
@@ -72,6 +75,7 @@
 		renew:  make(chan bool, 1),
 		fetch:  make(chan struct{}, 1),
 		report: report,
+		pushed: place.Pushed,
 		poll:   endpoints.NewPollSchedule(place).Wait,
 		asking: endpoints.NewAsking(place.Nodes, callWait),
 	}
--- a/internal/node/discovery/discovery_test.go
+++ b/internal/node/discovery/discovery_test.go
@@ -355,3 +355,48 @@
 	cancel()
 	<-done
 }
+
+// Where lists are pushed the module asks for none, and what the agent has counts as told at once: the watch must go on by
+// itself from the start, a call that the agent does not answer must be over within the grace of drains, and one that fails
+// must be made again at once. An agent is silent while discovery is down; that is told once, and not to the module again
+// and again for longer than it lasts.
+func TestPushedListsAreFollowed(t *testing.T) {
+	s := newHeldServer(t)
+	reports := make(chan *endpoints.List, 100)
+	d := New(s.address, endpoints.Place{Nodes: 4, Pushed: true}, Quiet(), func(l *endpoints.List) { reports <- l })
+	since := uint64(3)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		d.RunWatch(ctx, &since)
+	}()
+	for range 4 { // silent: each call ends by itself, and the next one comes
+		c := s.call(t)
+		ms, err := strconv.Atoi(strings.TrimPrefix(c.query, "since=3&timeout_ms="))
+		if err != nil || ms > 300 {
+			t.Fatalf("asked %q", c.query)
+		}
+		<-c.done
+		if l := <-reports; l != nil {
+			t.Errorf("reported %v", l)
+		}
+	}
+	c := s.call(t)
+	c.write(t, ListOf(5, false, "127.0.0.1:1 DRAINING"))
+	c.write(t, "")
+	if l := <-reports; l == nil || l.Generation != 5 {
+		t.Errorf("reported %v", l)
+	}
+	if c := s.call(t); !strings.HasPrefix(c.query, "since=5&") {
+		t.Errorf("goes on with %q", c.query)
+	}
+	cancel()
+	<-done
+	// How long a call that is not answered keeps the next one waiting: less than rule 3 gives, whatever came before.
+	for _, lost := range []bool{false, true} {
+		if wait, patience := d.poll(0, lost); wait > patience || patience+agentPause > 400*time.Millisecond {
+			t.Errorf("a poll waits %v, and is lost after %v and %v", wait, patience, agentPause)
+		}
+	}
+}
--- a/internal/node/discovery/watch.go
+++ b/internal/node/discovery/watch.go
@@ -24,6 +24,7 @@
 	newest *poll // nil: none is out
 	before *poll // one that was made anew: its answer may be on its way, and has counted as told since it was written
 	limit  *time.Timer
+	pause  *time.Timer
 	ended  chan ended
 	out    sync.WaitGroup
 }
@@ -44,10 +45,15 @@
 // RunWatch keeps the watch, while it is wanted, until the context ends. A call
 // that fails ends the watch: the module decides when to ask again.
 // A watch that waits for that in vain at an old address begins anew with a move.
+//
+// Where lists are pushed the module asks for nothing: the watch on the agent goes on by itself, and what fails is
+// tried again at once.
 func (d *Discovery) RunWatch(ctx context.Context, since *uint64) {
 	ctx, cancel := context.WithCancel(ctx)
-	w := &watch{Discovery: d, since: since, ended: make(chan ended), limit: time.NewTimer(0)}
+	w := &watch{Discovery: d, since: since, ended: make(chan ended), limit: time.NewTimer(0), pause: time.NewTimer(0)}
+	w.on, w.wanted = d.pushed, d.pushed
 	defer w.limit.Stop()
+	defer w.pause.Stop()
 	defer w.out.Wait()
 	defer cancel()
 	for {
@@ -78,6 +84,8 @@
 			w.anew()
 		case e := <-w.ended:
 			w.take(e)
+		case <-w.pause.C:
+			w.on = w.on || w.pushed
 		case <-w.limit.C:
 			w.before = w.callOff(w.before)
 		}
@@ -96,6 +104,8 @@
 	switch {
 	case p.since == nil:
 		call = func() (*endpoints.List, error) { return w.Discovery.whole(ctx, at.call, 0) }
+	case p.whole && w.pushed:
+		call = func() (*endpoints.List, error) { return w.Discovery.whole(ctx, at.call, agentWhole) }
 	case p.whole:
 		call = func() (*endpoints.List, error) { return w.Discovery.whole(ctx, at.call, wholeWait) }
 	default:
@@ -142,8 +152,13 @@
 	case w.newest:
 		w.newest = nil
 		if e.err != nil {
-			w.log.Warn("the watch failed", "err", e.err)
+			if !w.pushed || !w.lost { // an agent is silent while discovery is down: told once
+				w.log.Warn("the watch failed", "err", e.err)
+			}
 			w.on, w.lost = false, true
+			if w.pushed {
+				w.pause.Reset(agentPause)
+			}
 			w.report(nil)
 			return
 		}
--- a/internal/operators/settings/settings.go
+++ b/internal/operators/settings/settings.go
@@ -95,7 +95,9 @@
 		"none": decide.WeightsNone, "nominal": decide.WeightsNominal, "rough": decide.WeightsRough,
 		"live": decide.WeightsLive,
 	}
-	groups = map[string]decide.Group{"all": decide.GroupAll, "zone": decide.GroupZone, "cell": decide.GroupCell}
+	// mustAsk tells of each way of lists whether they come only when asked for.
+	mustAsk = map[string]bool{"subscribe": true, "automatic": false, "": false}
+	groups  = map[string]decide.Group{"all": decide.GroupAll, "zone": decide.GroupZone, "cell": decide.GroupCell}
 )
 
 // Named looks up a word in a table of names.
@@ -125,7 +127,6 @@
 		Streams:        s.Limits.StreamsPerConn,
 		Zone:           s.Zone,
 		OverShareWorth: s.OverShareWorth,
-		MustAsk:        s.RegistryMode == "subscribe",
 		AskWithin:      s.Obligations.AskWithin,
 		ColdFrom:       s.Obligations.ColdFrom,
 		ColdFor:        s.Obligations.ColdFor,
@@ -158,6 +159,11 @@
 	if len(s.Categories) == 0 {
 		return set, errors.New("settings name no class")
 	}
+	asks, err := Named(mustAsk, "registry_mode", s.RegistryMode)
+	if err != nil {
+		return set, err
+	}
+	set.MustAsk = asks
 	if s.WeightSource != "" {
 		kind, err := Named(weights, "weight source", s.WeightSource)
 		if err != nil {
--- a/internal/servers/endpoints/poll.go
+++ b/internal/servers/endpoints/poll.go
@@ -24,6 +24,11 @@
 	proofWait     = 2 * time.Second
 	proofPatience = 3500 * time.Millisecond // discovery may let it wait in turn first
 
+	// Where lists are pushed an agent on the node's own machine has them. What it has counts as told at once, while it is
+	// silent as long as discovery is down: a poll must be over, and the next one answered, within the grace of drains.
+	agentWait     = 200 * time.Millisecond
+	agentPatience = 300 * time.Millisecond
+
 	turnsApart = 0.63224128846 // multiples of it, less whole numbers, lie evenly between 0 and 1
 )
 
@@ -31,6 +36,7 @@
 type Place struct {
 	Node, Nodes int // its number in its tier; under 0: unknown
 	Tier        int
+	Pushed      bool // lists come from an agent beside it, at no cost
 	Seed        uint64
 }
 
@@ -40,12 +46,13 @@
 // wall clock, by its number; where clocks differ, turns do so by chance.
 type PollSchedule struct {
 	period, phase time.Duration
+	pushed        bool
 	rng           *rand.Rand
 }
 
 // NewPollSchedule returns the schedule of one node.
 func NewPollSchedule(p Place) *PollSchedule {
-	s := &PollSchedule{rng: rand.New(rand.NewPCG(p.Seed, 0x706f6c6c))}
+	s := &PollSchedule{pushed: p.Pushed, rng: rand.New(rand.NewPCG(p.Seed, 0x706f6c6c))}
 	s.period = min(max(pollLeast, time.Duration(max(0, p.Nodes))*pollANode), pollMost)
 	_, at := math.Modf(float64(p.Node)*turnsApart + between(p.Tier))
 	if p.Node < 0 || p.Nodes <= 1 {
@@ -66,6 +73,9 @@
 // Wait returns how long a poll that begins at a time of the wall clock may wait at discovery, and after which time
 // without an answer it is lost. lost: the call before it failed.
 func (s *PollSchedule) Wait(wall time.Duration, lost bool) (wait, patience time.Duration) {
+	if s.pushed {
+		return agentWait, agentPatience
+	}
 	wait = (s.phase - wall%s.period + s.period) % s.period
 	if wait < max(pollShortest, s.period/4) {
 		wait += s.period
