Force crossings between several processes, and judge what counts as told without a word

Change: the judge holds what counts as told: 6 s after the Boxliste had a change and could be reached; after a swallowed watch 6 s later, or 2 s after the end of its wait. Newer words go before older ones that fall due later. New faults in the lab: blackhole (all open watches fall silent), leave (a box is announced as draining and serves on), term (SIGTERM, then a new start); callers may leave early (Traffic.Leave).

Six tests with real processes: watches fall silent, then boxes leave; boxes leave as discovery is back; rolling SIGTERM; callers leave in a burst; thirty nodes before a cold box; restarts among idle clients with discovery down.

The judge's checks are proved by six scripts, at and over the edge.

Also: the lab found a node's port taken by a child between fork and exec; the port is now found with no fork between.

--- /dev/null
+++ b/internal/rig/lab/crossing_test.go
@@ -0,0 +1,167 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"curlewring/internal/rig/standin"
+)
+
+// crossing plays faults among several real nodes, one beside the other. The judge hears no node, and holds what counts as
+// told though it was never written.
+func crossing(t *testing.T, change func(o *Options), faults ...string) *Report {
+	t.Helper()
+	return paced(t, 0, change, faults...)
+}
+
+// paced does so with a Boxliste that sends so many lines a second once all nodes are ready; 0: any number.
+func paced(t *testing.T, lines int, change func(o *Options), faults ...string) *Report {
+	t.Helper()
+	o := options()
+	o.Nodes, o.Plan.Boxes = 4, 8
+	for _, text := range faults {
+		f, err := standin.ParseFault(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		o.Faults = append(o.Faults, f)
+	}
+	change(&o)
+	l, err := Open(context.Background(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	l.Fleet.Liste.Pace(lines)
+	r, err := l.Run(context.Background(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	check(t, r)
+	return r
+}
+
+// service is the part of the requests that were served in time.
+func service(r *Report) float64 {
+	served, asked := 0, 0
+	for _, c := range r.Classes {
+		served, asked = served+c.Served, asked+c.Asked
+	}
+	return float64(served) / float64(max(1, asked))
+}
+
+// All watches of all nodes fall silent, and boxes drain right after, while the Boxliste takes three quarters of a second
+// for each call: every node has to have noticed and asked anew by the time at which the drains count as told.
+func TestWatchesFallSilentThenBoxesDrain(t *testing.T) {
+	t.Parallel()
+	r := paced(t, 4, func(o *Options) { o.Nodes, o.Traffic.Rate, o.Traffic.For = 6, 120, 15*time.Second }, "blackhole:at=1s", "leave:box=1,at=1200ms,for=14s", "leave:box=4,at=1500ms,for=14s")
+	if part := service(r); part < 0.9 {
+		t.Errorf("%.3f served", part)
+	}
+}
+
+// Discovery is down, and boxes drain as it comes back: whatever pause a node has come to by then, it has to ask in time.
+func TestBoxesDrainAtDiscoverysReturn(t *testing.T) {
+	t.Parallel()
+	r := crossing(t, func(o *Options) { o.Traffic.Rate, o.Traffic.For = 100, 16*time.Second },
+		"outage:at=500ms,for=7s", "leave:box=1,at=7400ms,for=9s", "leave:box=5,at=7600ms,for=9s")
+	if part := service(r); part < 0.9 {
+		t.Errorf("%.3f served", part)
+	}
+}
+
+// Nodes are told to end one after the other, while callers go on sending on the connections that they have until these
+// close: nothing that a node has taken may be lost, and each is back soon.
+func TestRollingTerm(t *testing.T) {
+	t.Parallel()
+	var faults []string
+	for n := range 4 {
+		faults = append(faults, fmt.Sprintf("term:node=%d,at=%dms,for=3500ms", n, 500+1500*n))
+	}
+	faults = append(faults, "stuck:box=2,at=400ms,for=2s", "reset:box=3,at=3s,for=2s")
+	r := crossing(t, func(o *Options) { o.Traffic.Rate, o.Traffic.For = 200, 10*time.Second }, faults...)
+	if part := service(r); part < 0.7 {
+		t.Errorf("%.3f served", part)
+	}
+	for _, n := range r.Nodes {
+		if n.Wrong != "" {
+			t.Errorf("%s: %s", n.Name, n.Wrong)
+		}
+	}
+}
+
+// Callers leave in great numbers while boxes are slow, hang and turn away: nothing goes out for those that have left.
+func TestCallersLeaveInABurst(t *testing.T) {
+	t.Parallel()
+	r := crossing(t, func(o *Options) {
+		o.Traffic.Rate, o.Traffic.For, o.Traffic.Leave, o.Traffic.Retries = 200, 5*time.Second, 0.7, 0
+	}, "slow:site=genf,at=300ms,for=4s,by=60", "slow:site=zuerich,at=300ms,for=4s,by=60", "turnaway:box=3,at=300ms,for=4s", "reset:box=4,at=300ms,for=4s")
+	left := 0
+	for _, c := range r.Classes {
+		left += c.Failed
+	}
+	if left < 100 {
+		t.Errorf("only %d requests have failed or were left", left)
+	}
+}
+
+// Thirty nodes before boxes of which one starts cold: it must not be pushed over by the sum of what they send, and it must
+// get something.
+func TestThirtyNodesBeforeAColdBox(t *testing.T) {
+	t.Parallel()
+	r := crossing(t, func(o *Options) {
+		o.Nodes, o.Plan.Boxes = 30, 4
+		o.Traffic.Rate, o.Traffic.For = 150, 8*time.Second
+	}, "crash:box=1,at=1s,for=1s")
+	for _, b := range r.Boxes {
+		if b.Fallen {
+			t.Errorf("%+v", b)
+		}
+	}
+	if part := service(r); part < 0.9 {
+		t.Errorf("%.3f served", part)
+	}
+}
+
+// Idle clients take all the connections that nodes have, discovery is down, and nodes restart: they must be ready within
+// 10 s, and serve.
+func TestRestartAmongIdleClients(t *testing.T) {
+	t.Parallel()
+	o := options()
+	o.Sockets, o.Nodes = 256, 2
+	o.Idle, o.Wake, o.Tool = 400, 0, tool
+	o.Traffic.Rate, o.Traffic.For = 100, 9*time.Second
+	for _, text := range []string{"outage:at=300ms,for=8s", "kill:node=0,at=1s,for=500ms", "term:node=1,at=2500ms,for=3s"} {
+		f, err := standin.ParseFault(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		o.Faults = append(o.Faults, f)
+	}
+	l, err := Open(context.Background(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	var late []string
+	l.onStart = func(p *process) {
+		begun := time.Now()
+		if err := p.waitReady(context.Background()); err != nil || time.Since(begun) > 10*time.Second {
+			late = append(late, fmt.Sprintf("%s: %v after %v", p.name, err, time.Since(begun)))
+		}
+	}
+	r, err := l.Run(context.Background(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	check(t, r)
+	if len(late) > 0 {
+		t.Errorf("not ready in time: %s", strings.Join(late, "; "))
+	}
+	if part := service(r); part < 0.6 {
+		t.Errorf("%.3f served", part)
+	}
+}
--- a/internal/rig/lab/lab.go
+++ b/internal/rig/lab/lab.go
@@ -65,6 +65,7 @@
 	lists     map[string]string        // discovery, by node
 	between   *between                 // relays; nil: nodes do not talk
 	stopped   map[string]time.Duration // when a node began to stand still
+	onStart   func(p *process)         // called for each node that has been started again; nil: nobody asks
 	mu        sync.Mutex               // guards the configuration files
 }
 
@@ -275,6 +276,15 @@
 	return nil
 }
 
+// Term tells a node to end, as at a planned restart. It goes on serving for a while; Start waits for its end.
+func (l *Lab) Term(name string) error {
+	p, err := l.find(name)
+	if err != nil {
+		return err
+	}
+	return p.signal(syscall.SIGTERM, true)
+}
+
 // Start starts a killed node with the list that it last had.
 func (l *Lab) Start(name string) error { return l.start(name, true) }
 
@@ -303,7 +313,19 @@
 			return err
 		}
 	}
-	return p.start()
+	p.mu.Lock()
+	ended, runs := p.ended, p.cmd != nil && p.stops
+	p.mu.Unlock()
+	if runs { // told to end, and still at it
+		<-ended
+	}
+	if err := p.start(); err != nil {
+		return err
+	}
+	if l.onStart != nil {
+		l.onStart(p)
+	}
+	return nil
 }
 
 // Reload makes all nodes read their files again.
--- a/internal/rig/lab/process.go
+++ b/internal/rig/lab/process.go
@@ -245,6 +245,9 @@
 
 // freeAddress finds a port on a loopback address that nothing else here has.
 func freeAddress(host string) (string, error) {
+	// A child that is forked meanwhile would hold a copy of the listener until it runs its program, and the port with it.
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 	if err != nil {
 		return "", err
--- a/internal/rig/lab/report.go
+++ b/internal/rig/lab/report.go
@@ -60,6 +60,7 @@
 
 func (l *Lab) report(took, cpu time.Duration) *Report {
 	classes := l.Callers.Report()
+	l.Fleet.Settle()
 	v := l.Fleet.Judge.Judge(l.Fleet.Clock.Now())
 	r := &Report{
 		Seconds: took.Seconds(), Service: standin.Service(classes), MostTries: v.MostTries, Breaches: v.Breaches,
--- a/internal/rig/standin/callers.go
+++ b/internal/rig/standin/callers.go
@@ -22,6 +22,7 @@
 	Backoff time.Duration // before a retry without advice
 	Mix     []float64     // shares by class; nil: the plan's
 	Body    int           // bytes of a body, where a request has one
+	Leave   float64       // part of the tries whose callers leave early, within their class's aim
 }
 
 // ClassReport is what became of a class's requests.
@@ -158,7 +159,12 @@
 		}
 		a.ID, a.Wait, a.Resent = fmt.Sprintf("%016x", rng.Uint64()), left, tries > 0
 		// A request under way is not given up when arrivals stop.
-		answer = c.clients[node%len(c.clients)].Do(context.WithoutCancel(ctx), a)
+		stays, leave := context.WithCancel(context.WithoutCancel(ctx))
+		if t.Leave > 0 && rng.Float64() < t.Leave {
+			time.AfterFunc(time.Duration(rng.Float64()*float64(class.Aim)), leave)
+		}
+		answer = c.clients[node%len(c.clients)].Do(stays, a)
+		leave()
 		c.seen[answer.Ending].Add(1)
 		tries++
 		if answer.Ending == judge.Served || tries > t.Retries {
--- a/internal/rig/standin/fault.go
+++ b/internal/rig/standin/fault.go
@@ -26,8 +26,9 @@
 func faultKinds() map[string]string {
 	return map[string]string{
 		"slow": "boxes", "stuck": "boxes", "reset": "boxes", "refuse": "boxes", "silent": "boxes", "crash": "boxes",
-		"drain": "boxes", "garble": "boxes", "error": "boxes", "turnaway": "boxes",
-		"lag": "liste", "outage": "liste", "empty": "liste", "backup": "liste", "kill": "node", "stop": "node",
+		"drain": "boxes", "leave": "boxes", "garble": "boxes", "error": "boxes", "turnaway": "boxes",
+		"lag": "liste", "outage": "liste", "empty": "liste", "backup": "liste", "blackhole": "liste",
+		"kill": "node", "stop": "node", "term": "node",
 		"cut": "links", "lose": "links", "late": "links", "twice": "links", "damage": "links",
 	}
 }
@@ -148,6 +149,7 @@
 // Nodes is what a fault may do to nodes; whoever runs them provides it.
 type Nodes interface {
 	Kill(name string) error
+	Term(name string) error // it is told to end, and has its time for that
 	Start(name string) error
 	Stop(name string) error // it stands still ...
 	Cont(name string) error // ... and goes on
@@ -209,8 +211,13 @@
 	case "backup":
 		f.Liste.Back(time.Duration(x.By * float64(time.Second)))
 		return nil
+	case "blackhole":
+		f.Liste.Swallow()
+		return nil
 	case "kill":
 		return nodes.Kill(x.Node)
+	case "term":
+		return nodes.Term(x.Node)
 	case "stop":
 		return nodes.Stop(x.Node)
 	case "cut", "lose", "late", "twice", "damage":
@@ -246,6 +253,8 @@
 		case "drain":
 			f.tell(b, "DRAINING", false)
 			b.drain(true)
+		case "leave": // it is announced as leaving, and serves on: nothing but the list tells
+			f.tell(b, "DRAINING", false)
 		}
 	}
 	return nil
@@ -266,7 +275,9 @@
 	case "backup":
 		f.Liste.Back(0)
 		return nil
-	case "kill":
+	case "blackhole": // what was swallowed stays so
+		return nil
+	case "kill", "term":
 		return nodes.Start(x.Node)
 	case "stop":
 		return nodes.Cont(x.Node)
@@ -285,7 +296,7 @@
 		case "crash":
 			err = b.restart()
 			f.tell(b, "SERVING", false)
-		case "drain": // a new process takes the place of the drained one
+		case "drain", "leave": // a new process takes the place of the drained one
 			f.tell(b, "DELETED", true)
 			b.close()
 			err = b.restart()
--- a/internal/rig/standin/fleet.go
+++ b/internal/rig/standin/fleet.go
@@ -119,6 +119,14 @@
 	return f.below[tier-1]
 }
 
+// Settle tells the judge what counts as told at the end of a run, whether or not it was.
+func (f *Fleet) Settle() {
+	f.Liste.Settle()
+	for _, l := range f.below {
+		l.Settle()
+	}
+}
+
 // tell puts a box's state on the Boxliste of its tier.
 func (f *Fleet) tell(b *Box, lifecycle string, atOnce bool) {
 	started := int64(0)
--- a/internal/rig/standin/judge/judge.go
+++ b/internal/rig/standin/judge/judge.go
@@ -134,8 +134,10 @@
 }
 
 type word struct {
-	at    time.Duration
-	state State
+	at      time.Duration
+	state   State
+	version int  // of the list; a newer one goes before an older, whenever each was told
+	due     bool // it counts as told, whether or not it was
 }
 
 type delay struct{ at, long time.Duration }
@@ -262,10 +264,23 @@
 		j.words[node] = boxes
 	}
 	if all := boxes[box]; len(all) == 0 || all[len(all)-1].state != s {
-		boxes[box] = append(all, word{at, s})
+		boxes[box] = append(all, word{at: at, state: s})
 	}
 }
 
+// Known says that a box's state counts as told to a node from a time on, as of a version of the list: it has been written
+// then, or, if due, discovery has had it and could be reached for as long as a node may take to ask.
+func (j *Judge) Known(at time.Duration, node, box string, s State, version int, due bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	boxes := j.words[node]
+	if boxes == nil {
+		boxes = map[string][]word{}
+		j.words[node] = boxes
+	}
+	boxes[box] = append(boxes[box], word{at, s, version, due})
+}
+
 // Died says that a node was killed: what it held is its callers' to ask again.
 // It starts again with what it was told before, so words to it go on counting.
 func (j *Judge) Died(at time.Duration, node string) {
@@ -477,7 +492,7 @@
 	for _, a := range c.attempts {
 		last := word{}
 		for _, w := range c.words[c.node][a.box] {
-			if w.at <= a.at {
+			if w.at <= a.at && (w.version > last.version || w.version == last.version && (w.version == 0 || w.at < last.at)) {
 				last = w
 			}
 		}
@@ -487,8 +502,15 @@
 				told = x[1]
 			}
 		}
+		if last.due && slices.ContainsFunc(c.deaths[c.node], func(at time.Duration) bool { return at < a.at }) {
+			continue // its new process may not have had the time; what is written to it counts
+		}
 		if last.state != Serving && c.late(told+c.rules.DrainGrace, a.at) {
-			c.breach(3, a.at, "box %s got it %v after node %s was told that it is %v", a.box, a.at-last.at, c.node, last.state)
+			what := "was told"
+			if last.due {
+				what = "counts as told"
+			}
+			c.breach(3, a.at, "box %s got it %v after node %s %s that it is %v", a.box, a.at-last.at, c.node, what, last.state)
 		}
 	}
 }
--- a/internal/rig/standin/judge/judge_test.go
+++ b/internal/rig/standin/judge/judge_test.go
@@ -300,3 +300,64 @@
 		t.Errorf("got %+v", v)
 	}
 }
+
+// What discovery has had for long enough counts as told, whether or not it was written: a node that goes on sending has
+// broken rule 3, one that stops at the last moment has not. A newer word goes before an older one that falls due later, and a
+// process that was killed meanwhile is held to what is written to it alone.
+func TestWhatCountsAsTold(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		rule int
+		play func(*Judge)
+	}{
+		{"sends on after it counts as told", 3, func(j *Judge) {
+			j.Known(6*time.Second, "n", "a", Draining, 1, true)
+			j.Asked(6560*ms, "1", look, "n", time.Second)
+			try(j, "1", "a", 6561*ms, 5*ms, Done)
+			j.Answered(6570*ms, "1", Served, "a")
+		}},
+		{"stops at the last moment", 0, func(j *Judge) {
+			j.Known(6*time.Second, "n", "a", Draining, 1, true)
+			j.Asked(6540*ms, "1", look, "n", time.Second)
+			try(j, "1", "a", 6549*ms, 5*ms, Done)
+			j.Answered(6560*ms, "1", Served, "a")
+		}},
+		{"was told later, and does not stop before", 3, func(j *Judge) {
+			j.Known(9*time.Second, "n", "a", Draining, 1, false)
+			j.Known(6*time.Second, "n", "a", Draining, 1, true)
+			j.Asked(7*time.Second, "1", look, "n", time.Second)
+			try(j, "1", "a", 7*time.Second, 5*ms, Done)
+			j.Answered(7010*ms, "1", Served, "a")
+		}},
+		{"serves again by a newer word, told before the older one falls due", 0, func(j *Judge) {
+			j.Known(4*time.Second, "n", "a", Serving, 2, false)
+			j.Known(6*time.Second, "n", "a", Draining, 1, true)
+			j.Asked(8*time.Second, "1", look, "n", time.Second)
+			try(j, "1", "a", 8*time.Second, 5*ms, Done)
+			j.Answered(8010*ms, "1", Served, "a")
+		}},
+		{"was killed meanwhile", 0, func(j *Judge) {
+			j.Known(6*time.Second, "n", "a", Draining, 1, true)
+			j.Died(5*time.Second, "n")
+			j.Asked(7*time.Second, "1", look, "n", time.Second)
+			try(j, "1", "a", 7*time.Second, 5*ms, Done)
+			j.Answered(7010*ms, "1", Served, "a")
+		}},
+		{"was killed meanwhile, and told anew", 3, func(j *Judge) {
+			j.Died(1*time.Second, "n")
+			j.Known(2*time.Second, "n", "a", Draining, 1, false)
+			j.Asked(3*time.Second, "1", look, "n", time.Second)
+			try(j, "1", "a", 3*time.Second, 5*ms, Done)
+			j.Answered(3010*ms, "1", Served, "a")
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			j := ledger()
+			c.play(j)
+			v := j.Judge(time.Minute)
+			if len(v.Breaches) > 0 != (c.rule > 0) || c.rule > 0 && v.Breaches[0].Rule != c.rule {
+				t.Errorf("breaches %v", v.Breaches)
+			}
+		})
+	}
+}
--- a/internal/rig/standin/liste.go
+++ b/internal/rig/standin/liste.go
@@ -63,15 +63,26 @@
 	fronts    []*listeFront
 	calls     int
 	lines     int
+	away      [][2]time.Duration // when it could not be reached, or told what was not so
+	awaySince time.Duration      // 0: it can be
+	swallowed int                // raised with each time that open watches fall silent
 }
 
+// toldAfter is how long after the list has had a change, and could be reached, it counts as told to every node; and a
+// watch that has fallen silent counts as told of what it misses toldAfter later, or lateAfter the end of its wait.
+const (
+	toldAfter = 6 * time.Second
+	lateAfter = 2 * time.Second
+)
+
 // listeFront is the Boxliste's address for one node, by which it knows whom it told.
 type listeFront struct {
 	liste  *Liste
 	node   string
 	server *http.Server
 	ended  chan struct{}
-	lies   int // of which its node has heard; the liste's mutex guards it
+	lies   int             // of which its node has heard; the liste's mutex guards it
+	silent []time.Duration // until when what a swallowed watch has missed does not count as told; the same
 }
 
 // NewListe returns an empty list.
@@ -141,14 +152,70 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.out = on
+	l.reach(!on)
+	l.wake()
+}
+
+// reach notes whether it can be reached and tells the truth; l.mu is held.
+func (l *Liste) reach(well bool) {
+	now := max(1, l.clock.Now())
+	switch {
+	case !well && l.awaySince == 0:
+		l.awaySince = now
+	case well && l.awaySince > 0:
+		l.away = append(l.away, [2]time.Duration{l.awaySince, now})
+		l.awaySince = 0
+	}
+}
+
+// Swallow has all watches that are open fall silent, as a network may: their connections stay, and nothing comes any more.
+func (l *Liste) Swallow() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.swallowed++
 	l.wake()
 }
 
+// Settle tells the judge what counts as told without having been written. Nothing may be told after it.
+func (l *Liste) Settle() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reach(true)
+	for n, c := range l.changes {
+		for _, f := range l.fronts {
+			l.judge.Known(f.due(c.visible), f.node, c.ID, c.state(), n+1, true)
+		}
+	}
+}
+
+// due is when a change counts as told to this front's node.
+func (f *listeFront) due(visible time.Duration) time.Duration {
+	at := visible
+	for _, x := range f.liste.away { // in order of time
+		if x[0] <= at && at < x[1] {
+			at = x[1]
+		}
+	}
+	at += toldAfter
+	for _, x := range f.liste.away { // it went away before a node had to have asked
+		if x[0] < at && at-toldAfter < x[1] {
+			at = max(at, x[1]+toldAfter)
+		}
+	}
+	for _, until := range f.silent {
+		if visible < until {
+			at = max(at, until)
+		}
+	}
+	return at
+}
+
 // Empty has the Boxliste say that there is no box, as a whole list and of no generation's own, or ends that.
 func (l *Liste) Empty(on bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.empty = on
+	l.reach(!on)
 	l.lies++
 	l.wake()
 }
@@ -162,6 +229,7 @@
 	if by > 0 {
 		l.frozen = max(1, l.clock.Now()-by)
 	}
+	l.reach(by <= 0)
 	l.lies++
 	l.wake()
 }
@@ -228,9 +296,18 @@
 		since, waits = n, time.Duration(ms)*time.Millisecond
 	}
 	end := l.clock.Now() + waits
+	l.mu.Lock()
+	swallowed := l.swallowed
+	l.mu.Unlock()
 	for {
 		l.mu.Lock()
 		now := l.clock.Now()
+		if l.swallowed != swallowed {
+			f.silent = append(f.silent, max(now+toldAfter, end+lateAfter))
+			l.mu.Unlock()
+			<-r.Context().Done()
+			return
+		}
 		n, next := l.version(now)
 		changed, out := l.changed, l.out
 		ready := since < 0 || n > since || now >= end || f.lies != l.lies
@@ -300,10 +377,10 @@
 		if entries[i].state() == judge.Serving { // the node may go by it before this goroutine runs again
 			at = writing
 		}
-		l.judge.Told(at, f.node, entries[i].ID, entries[i].state())
+		l.judge.Known(at, f.node, entries[i].ID, entries[i].state(), n, false)
 	}
 	for _, id := range gone {
-		l.judge.Told(now, f.node, id, judge.Gone)
+		l.judge.Known(now, f.node, id, judge.Gone, n, false)
 	}
 }
 
--- a/internal/rig/standin/standin_test.go
+++ b/internal/rig/standin/standin_test.go
@@ -556,3 +556,28 @@
 	close(stop)
 	parts.Wait()
 }
+
+// When a change counts as told to a node: 6 s after the Boxliste had it and could be reached; after a watch was swallowed 6 s
+// later, or 2 s after the end of its wait.
+func TestWhenChangesCountAsTold(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		away    [][2]time.Duration
+		silent  []time.Duration
+		visible time.Duration
+		want    time.Duration
+	}{
+		{"at once", nil, nil, 10 * time.Second, 16 * time.Second},
+		{"made while it is away", [][2]time.Duration{{9 * time.Second, 12 * time.Second}}, nil, 10 * time.Second, 18 * time.Second},
+		{"away within the 6 s", [][2]time.Duration{{14 * time.Second, 15 * time.Second}}, nil, 10 * time.Second, 21 * time.Second},
+		{"away before", [][2]time.Duration{{time.Second, 9 * time.Second}}, nil, 10 * time.Second, 16 * time.Second},
+		{"away after it counts", [][2]time.Duration{{17 * time.Second, 30 * time.Second}}, nil, 10 * time.Second, 16 * time.Second},
+		{"missed by a swallowed watch", nil, []time.Duration{19 * time.Second}, 10 * time.Second, 19 * time.Second},
+		{"made after that", nil, []time.Duration{9 * time.Second}, 10 * time.Second, 16 * time.Second},
+	} {
+		f := &listeFront{liste: &Liste{away: c.away}, silent: c.silent}
+		if got := f.due(c.visible); got != c.want {
+			t.Errorf("%s: counts as told at %v, want %v", c.name, got, c.want)
+		}
+	}
+}
