Bound the time from a change to its being told over failed calls in any order

Need: whatever calls have failed, a change counts as told 6 s after discovery had it and could be reached.

--- a/internal/node/discovery/discovery.go
+++ b/internal/node/discovery/discovery.go
@@ -20,7 +20,7 @@
 	callWait    = 5 * time.Second
 	callConnect = time.Second
 	// A node that has a list asks for the whole only in doubt: one that gets none in this time asks for changes.
-	wholeWait    = 3500 * time.Millisecond
+	wholeWait    = 3 * time.Second
 	agentWhole   = 350 * time.Millisecond // the same of an agent, which answers at once
 	agentPause   = 50 * time.Millisecond  // between two calls of an agent that fail
 	mostListSize = 1 << 20                // some 5000 servers; the smallest node has 32 MB for all it does
--- a/internal/servers/endpoints/poll.go
+++ b/internal/servers/endpoints/poll.go
@@ -21,8 +21,8 @@
 	pollLate = 300 * time.Millisecond
 	// After a call that failed whatever discovery has known for 6 s counts as told: the next poll proves early that
 	// calls get through, and leaves the time for one more.
-	proofWait     = 2 * time.Second
-	proofPatience = 3500 * time.Millisecond // discovery may let it wait in turn first
+	proofWait     = 1500 * time.Millisecond
+	proofPatience = 3 * time.Second // discovery may let it wait in turn first
 
 	// Where lists are pushed an agent on the node's own machine has them. What it has counts as told at once, while it is
 	// silent as long as discovery is down: a poll must be over, and the next one answered, within the grace of drains.
