Make a swallowed long poll anew at once, and no short ones where discovery turns calls away

Cause, by taking one part out after the other: short polls after a failure were given up in discovery's queue, which does their work all the same, and were made also where it had said that there were too many calls.

Mend: an answer that is no list (503, say) is proof that calls get through: the next poll is a usual one. A short poll is lost after 4 s for 3, more than it may wait in turn. In return a swallowed poll is made anew at once and is no failed call, after which the module pauses: it took long enough.

--- a/internal/node/discovery/watch.go
+++ b/internal/node/discovery/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -19,7 +20,7 @@
 	on, wanted bool
 	since      *uint64 // the generation that this node has; nil: none
 	whole      bool    // the next call is for the whole list all the same
-	lost       bool    // the last call failed, or discovery is new
+	lost       bool    // the last call did not get through, or discovery is new
 
 	newest *poll // nil: none is out
 	before *poll // one that was made anew: its answer may be on its way, and has counted as told since it was written
@@ -43,7 +44,8 @@
 }
 
 // RunWatch keeps the watch, while it is wanted, until the context ends. A call
-// that fails ends the watch: the module decides when to ask again.
+// that fails ends the watch: the module decides when to ask again. A long poll that
+// was swallowed in silence is no such call, and is made anew at once.
 // A watch that waits for that in vain at an old address begins anew with a move.
 //
 // Where lists are pushed the module asks for nothing: the watch on the agent goes on by itself, and what fails is
@@ -155,7 +157,12 @@
 			if !w.pushed || !w.lost { // an agent is silent while discovery is down: told once
 				w.log.Warn("the watch failed", "err", e.err)
 			}
-			w.on, w.lost = false, true
+			var status statusError
+			w.lost = !errors.As(e.err, &status)
+			if !e.whole && errors.Is(e.err, context.DeadlineExceeded) {
+				return // a silent one took long enough: the next begins at once
+			}
+			w.on = false
 			if w.pushed {
 				w.pause.Reset(agentPause)
 			}
--- a/internal/servers/endpoints/poll.go
+++ b/internal/servers/endpoints/poll.go
@@ -19,10 +19,10 @@
 	// What a poll has to tell counts as told 2 s after its wait is over, whether or not it came, and discovery may take
 	// most of that for the next call: one without an answer by now is lost.
 	pollLate = 300 * time.Millisecond
-	// After a call that failed whatever discovery has known for 6 s counts as told: the next poll proves early that
-	// calls get through, and leaves the time for one more.
+	// After a call that did not get through whatever discovery has known for 6 s counts as told: the next poll proves
+	// early that calls do, and leaves the time for one more.
 	proofWait     = 1500 * time.Millisecond
-	proofPatience = 3 * time.Second // discovery may let it wait in turn first
+	proofPatience = 4 * time.Second // discovery may let it wait in turn first
 
 	// Where lists are pushed an agent on the node's own machine has them. What it has counts as told at once, while it is
 	// silent as long as discovery is down: a poll must be over, and the next one answered, within the grace of drains.
@@ -71,7 +71,8 @@
 }
 
 // Wait returns how long a poll that begins at a time of the wall clock may wait at discovery, and after which time
-// without an answer it is lost. lost: the call before it failed.
+// without an answer it is lost. lost: the call before it did not get through. Discovery that turns calls away has too many,
+// and gets no short ones.
 func (s *PollSchedule) Wait(wall time.Duration, lost bool) (wait, patience time.Duration) {
 	if s.pushed {
 		return agentWait, agentPatience
