End the start on settings that no node can go by: a class or tenant twice, negative figures

Need: settings of other customers that are wrong have to end the start with a line that names key, value and bound. A class twice was taken, and its second terms went for both; negative times and quotas were taken as they were.

Change: settings.Object.Check, for nodes alone; the simulator's adapter takes all that its wire brings. A repeat window above the deadline is no error: the service's own has one.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -132,6 +132,9 @@
 		return nil, errors.New("no settings")
 	}
 	set, err := raw.Settings.Translate()
+	if err == nil {
+		err = raw.Settings.Check()
+	}
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
