Name the retry budget, slow start and ejections by the field's own terms

Need: names that hide a standard concept are renamed where the code is touched. retries was the retry budget, own the slow start's rate, ejects the count of ejections.

No change of behaviour: decide's and the root's tests pass.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -55,29 +55,29 @@
 
 // health tells whether something may be sent to: one server, or a zone as seen from here.
 type health struct {
-	inflight int
-	fails    int // in a row
-	ejects   int // ejections since it last served
-	outUntil time.Duration
+	inflight  int
+	fails     int // in a row
+	ejections int // ejections since it last served
+	outUntil  time.Duration
 }
 
 // fail counts a failure, and ejects after some in a row, each time for longer.
 func (h *health) fail(now time.Duration, after int) {
 	h.fails++
 	if h.fails >= after {
-		h.outUntil = now + ejectFor<<min(h.ejects, 3)
+		h.outUntil = now + ejectFor<<min(h.ejections, 3)
 		h.fails = after - 1 // one more failure afterwards is enough
-		h.ejects++
+		h.ejections++
 	}
 }
 
 // served clears what was held against it.
-func (h *health) served() { h.fails, h.ejects, h.outUntil = 0, 0, 0 }
+func (h *health) served() { h.fails, h.ejections, h.outUntil = 0, 0, 0 }
 
 // out tells whether to keep away. After an ejection there is one call at a time until it has served one:
 // what hangs would else swallow a full share of calls at each return.
 func (h *health) out(now time.Duration) bool {
-	return h.outUntil > now || h.ejects > 0 && h.inflight > 0
+	return h.outUntil > now || h.ejections > 0 && h.inflight > 0
 }
 
 // idling counts what became of sends on connections that had idled for about as long.
@@ -176,7 +176,7 @@
 	rateAt       time.Duration
 	before       float64 // answers a second of a server to one node, as of the last life; 0: not gone by
 	there        float64 // servers that there are, if the members are a part of an old list; 0: the members
-	retries      float64
+	retryBudget  float64
 	gaps         [gapSpans]idling
 	stale        int     // the span from which connections are dead; gapSpans: none
 	unmade       float64 // part of the attempts that found no connection
@@ -191,19 +191,19 @@
 // New returns the decisions of a node that starts now.
 func New(set Settings, seed uint64, now time.Duration) *Balancer {
 	b := &Balancer{
-		set:       set,
-		rng:       rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
-		now:       now,
-		servers:   map[string]*server{},
-		calls:     map[uint64]*call{},
-		zones:     map[string]*zone{},
-		tenants:   make([]tenant, len(set.Tenants)),
-		bounds:    make([]Bounds, 1),
-		longest:   make([]time.Duration, len(set.Classes)),
-		periodEnd: now + period,
-		rateAt:    now,
-		retries:   retryBurst,
-		stale:     gapSpans,
+		set:         set,
+		rng:         rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
+		now:         now,
+		servers:     map[string]*server{},
+		calls:       map[uint64]*call{},
+		zones:       map[string]*zone{},
+		tenants:     make([]tenant, len(set.Tenants)),
+		bounds:      make([]Bounds, 1),
+		longest:     make([]time.Duration, len(set.Classes)),
+		periodEnd:   now + period,
+		rateAt:      now,
+		retryBudget: retryBurst,
+		stale:       gapSpans,
 	}
 	aim := time.Duration(math.MaxInt64)
 	for _, c := range set.Classes {
@@ -392,7 +392,7 @@
 	}
 	for i := range len(b.near) + len(b.far) {
 		s := b.subset(i)
-		if s.ejects > 0 || s.zone.ejects > 0 {
+		if s.ejections > 0 || s.zone.ejections > 0 {
 			ejected++
 		}
 		if s.outUntil > b.now || s.zone.outUntil > b.now {
@@ -487,7 +487,7 @@
 	}
 	b.calls[r.ID] = c
 	b.held += 1 / float64(max(1, b.aim(&r)))
-	b.retries = min(b.retries+retryRate, retryBurst)
+	b.retryBudget = min(b.retryBudget+retryRate, retryBurst)
 	b.send(c)
 	return b.out
 }
@@ -728,7 +728,7 @@
 		if !a.done && a.copyAt > 0 && b.now >= a.copyAt {
 			a.copyAt = 0
 			if b.mayCopy(c, a) {
-				b.retries--
+				b.retryBudget--
 				b.maybeRan(c, a)
 				b.send(c)
 				return
@@ -739,7 +739,7 @@
 		}
 		a.overdue = true
 		if b.idled(a, true); a.span >= b.stale && b.mayCopy(c, a) {
-			b.retries--
+			b.retryBudget--
 			b.maybeRan(c, a)
 			b.send(c)
 			return
@@ -755,7 +755,7 @@
 		since = c.ranAt
 	}
 	return b.set.MaySecondCopy && class.Effect != Once && c.open == 1 && len(c.attempts) < b.most(c) &&
-		b.retries >= 1 && c.until > b.now && (class.Effect != Keyed || b.now-since < class.KeyTTL*9/10)
+		b.retryBudget >= 1 && c.until > b.now && (class.Effect != Keyed || b.now-since < class.KeyTTL*9/10)
 }
 
 // most is the number of attempts that a call may have.
@@ -795,10 +795,10 @@
 	return b.set.ColdFrom + (1-b.set.ColdFrom)*max(0, float64(age)/float64(b.set.ColdFor))
 }
 
-// own is what this node may send a cold server by itself, in sends a second. All nodes together may send
-// FallMultiple times what it can do; each takes a fixed part, measured by what its servers answer: sends
-// would count a storm as capacity.
-func (b *Balancer) own(s *server, safety float64) float64 {
+// slowStart is what this node may send a cold server by itself, in sends a second. All nodes together may
+// send FallMultiple times what it can do; each takes a fixed part, measured by what its servers answer:
+// sends would count a storm as capacity.
+func (b *Balancer) slowStart(s *server, safety float64) float64 {
 	subset, members := float64(max(1, len(b.near)+len(b.far))), float64(max(1, b.members()))
 	sharing := max(1, float64(b.set.Nodes)*subset/members)
 	rate := max(b.answers()/subset, b.before) * safety * b.set.FallMultiple * b.cold(s)
@@ -817,7 +817,7 @@
 		s.short = s.short || s.held(b.now) == 0 && (s.near || b.noNear)
 		return s.held(b.now) > 0
 	}
-	rate := b.own(s, coldSafety)
+	rate := b.slowStart(s, coldSafety)
 	s.tokens = min(s.tokens+rate*(b.now-s.filled).Seconds(), 1+rate*b.set.FallFor.Seconds()/4)
 	s.filled = b.now
 	return s.tokens >= 1
@@ -1035,7 +1035,7 @@
 		s.served()
 		s.zone.served()
 	case TimedOut, Unconnected, Broken, Errored: // errors in a row are the server's own, not its zone's
-		if r != Errored && (s.fails == 0 || s.zone.ejects > 0) { // one bad server is counted once
+		if r != Errored && (s.fails == 0 || s.zone.ejections > 0) { // one bad server is counted once
 			s.zone.fail(b.now, min(2*ejectAfter, max(ejectAfter, s.zone.members)))
 		}
 		s.fail(b.now, ejectAfter)
@@ -1051,7 +1051,7 @@
 	last := c.attempts[len(c.attempts)-1].result
 	free := last == Unconnected
 	allowed := c.bounds.RetryOn == 0 || c.bounds.RetryOn&last.Bit() != 0
-	stop := len(c.attempts) >= b.most(c) || b.now >= c.until || !free && b.retries < 1 ||
+	stop := len(c.attempts) >= b.most(c) || b.now >= c.until || !free && b.retryBudget < 1 ||
 		c.ran && class.Effect == Once || !allowed
 	wait := time.Duration(0)
 	if !stop && c.bounds.BackoffFirst > 0 {
@@ -1064,7 +1064,7 @@
 		return
 	}
 	if !free {
-		b.retries--
+		b.retryBudget--
 	}
 	if wait > 0 {
 		c.resume = b.now + wait
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -607,8 +607,8 @@
 			t.Errorf("%d idle connections after a spoilt answer", len(s.idle))
 		}
 	}
-	if s.ejects > 0 || s.zone.ejects > 0 || b.stale < gapSpans {
-		t.Errorf("ejected %d times, its zone %d; dead from span %d", s.ejects, s.zone.ejects, b.stale)
+	if s.ejections > 0 || s.zone.ejections > 0 || b.stale < gapSpans {
+		t.Errorf("ejected %d times, its zone %d; dead from span %d", s.ejections, s.zone.ejections, b.stale)
 	}
 	if send(Served, true); len(s.idle) != 0 {
 		t.Errorf("%d idle connections after an answer that closed its own", len(s.idle))
--- a/decide/pool.go
+++ b/decide/pool.go
@@ -69,7 +69,7 @@
 			calls = max(b.answers()/float64(max(1, len(b.near)+len(b.far))), b.before)
 		}
 		to = append(to, Cold{
-			Server: s.ID, Zone: s.Zone, Started: s.Started, Rate: b.own(s, coldPooled),
+			Server: s.ID, Zone: s.Zone, Started: s.Started, Rate: b.slowStart(s, coldPooled),
 			Calls: calls, Used: s.used, Held: s.held(now), Short: s.short, Answered: s.answered,
 		})
 		s.short = false
