Go on with a watch whose call before brought its answer after the newer one failed

Cause, by reading: the newer call's failure turns the watch off until the module asks; if the call before brings its list then, the module takes the watch for one that goes on, and never asks again. The node would keep its list for good.

Mend: such an answer turns the watch on again.

Result: TestAnAnswerAfterAFailureGoesOn waits in vain without.

--- a/internal/node/discovery/discovery_test.go
+++ b/internal/node/discovery/discovery_test.go
@@ -408,3 +408,37 @@
 		}
 	}
 }
+
+// A watch is made anew, the new call fails, and the one before brings its answer after all: the module takes that for a watch
+// that goes on, and asks for nothing more. So it has to go on.
+func TestAnAnswerAfterAFailureGoesOn(t *testing.T) {
+	s := newHeldServer(t)
+	reports := make(chan *endpoints.List, 10)
+	d := New(s.address, place(), Quiet(), func(l *endpoints.List) { reports <- l })
+	since := uint64(3)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		d.RunWatch(ctx, &since)
+	}()
+	d.SetWatch(true)
+	first := s.call(t)
+	d.Renew(false)
+	second := s.call(t)
+	second.write(t, "{") // no list
+	second.write(t, "")
+	if l := <-reports; l != nil {
+		t.Errorf("reported %v", l)
+	}
+	first.write(t, ListOf(4, false))
+	first.write(t, "")
+	if l := <-reports; l == nil || l.Generation != 4 {
+		t.Errorf("reported %v", l)
+	}
+	if c := s.call(t); !strings.HasPrefix(c.query, "since=4&") {
+		t.Errorf("goes on with %q", c.query)
+	}
+	cancel()
+	<-done
+}
--- a/internal/node/discovery/watch.go
+++ b/internal/node/discovery/watch.go
@@ -151,6 +151,7 @@
 		if e.err != nil {
 			return // the newer one tells whether discovery answers
 		}
+		w.on = w.wanted // the module hears that the watch goes on, whatever came of the newer one
 	case w.newest:
 		w.newest = nil
 		if e.err != nil {
