Push lists to several processes in the lab, with agents that fall silent

Need: the largest fault found was on settings with pushed lists, and nothing here played them over processes.

Change: Plan.Pushed: each node's front of the Boxliste is an agent, whose word counts as told at once, and which is silent during an outage.

--- a/internal/rig/lab/crossing_test.go
+++ b/internal/rig/lab/crossing_test.go
@@ -73,6 +73,19 @@
 	}
 }
 
+// Lists are pushed: what the agent beside a node has counts as told at once, and it is silent while discovery is down. Boxes
+// leave at once, amid an outage, and while nodes restart; nobody asks for the lists but the nodes by themselves.
+func TestPushedListsAmidTroubles(t *testing.T) {
+	t.Parallel()
+	r := crossing(t, func(o *Options) {
+		o.Plan.Pushed, o.Traffic.Rate, o.Traffic.For = true, 150, 7*time.Second
+	}, "leave:box=1,at=500ms,for=8s", "outage:at=1500ms,for=2s", "leave:box=4,at=2s,for=8s", "kill:node=1,at=2500ms,for=500ms",
+		"term:node=2,at=3s,for=2s", "leave:box=5,at=5s,for=8s")
+	if part := service(r); part < 0.8 {
+		t.Errorf("%.3f served", part)
+	}
+}
+
 // Nodes are told to end one after the other, while callers go on sending on the connections that they have until these
 // close: nothing that a node has taken may be lost, and each is back soon.
 func TestRollingTerm(t *testing.T) {
--- a/internal/rig/standin/fleet.go
+++ b/internal/rig/standin/fleet.go
@@ -30,12 +30,12 @@
 	clock := NewClock()
 	f := &Fleet{Plan: plan, Clock: clock, Judge: judge.New(plan.Rules())}
 	f.beat, f.trees = startBeat(clock, f.Judge), newTrees()
-	f.Liste = NewListe(clock, f.Judge, plan.Notice, plan.LinesASecond)
+	f.Liste = newListe(clock, f.Judge, &plan)
 	racks := map[judge.Place]*rack{}
 	for tier := range max(1, plan.Tiers) {
 		liste := f.Liste
 		if tier > 0 {
-			liste = NewListe(clock, f.Judge, plan.Notice, plan.LinesASecond)
+			liste = newListe(clock, f.Judge, &plan)
 			f.below = append(f.below, liste)
 		}
 		for i := range plan.Boxes {
@@ -221,7 +221,7 @@
 				"grace_to_answer_ns": 10 * time.Millisecond,
 			},
 			"callers": object{"marks_retry": true}, "family_info": object{"passes_deadline": true},
-			"areas": f.Plan.Sites, "me": s.Number, "n_instances": s.Nodes, "registry_mode": "subscribe",
+			"areas": f.Plan.Sites, "me": s.Number, "n_instances": s.Nodes, "registry_mode": map[bool]string{false: "subscribe", true: "automatic"}[f.Plan.Pushed],
 			"tier": s.Tier, "tiers": tiers, "weight_source": "none", "zone": s.Site,
 		},
 	}
--- a/internal/rig/standin/liste.go
+++ b/internal/rig/standin/liste.go
@@ -65,6 +65,7 @@
 	lines     int
 	away      [][2]time.Duration // when it could not be reached, or told what was not so
 	awaySince time.Duration      // 0: it can be
+	pushed    bool               // each front is an agent: what it has counts as told at once
 	swallowed int                // raised with each time that open watches fall silent
 }
 
@@ -90,6 +91,15 @@
 	return &Liste{clock: clock, judge: j, notice: notice, rate: rate, changed: make(chan struct{})}
 }
 
+// newListe returns an empty list as a plan has it.
+func newListe(clock Clock, j *judge.Judge, p *Plan) *Liste {
+	l := NewListe(clock, j, p.Notice, p.LinesASecond)
+	if p.Pushed {
+		l.pushed, l.rate = true, 0
+	}
+	return l
+}
+
 // Front opens an address for one node.
 func (l *Liste) Front(node, host string) (string, error) {
 	listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
@@ -190,15 +200,19 @@
 
 // due is when a change counts as told to this front's node.
 func (f *listeFront) due(visible time.Duration) time.Duration {
-	at := visible + toldAfter
+	after := toldAfter
+	if f.liste.pushed {
+		after = 0
+	}
+	at := visible + after
 	for _, until := range f.silent {
 		if visible < until {
 			at = max(at, until)
 		}
 	}
 	for _, x := range f.liste.away { // it could not be reached when the node should have asked
-		if x[0] < at && at-toldAfter < x[1] {
-			at = max(at, x[1]+toldAfter)
+		if x[0] <= at && at-after < x[1] {
+			at = max(at, x[1]+after)
 		}
 	}
 	return at
@@ -306,6 +320,10 @@
 		changed, out := l.changed, l.out
 		ready := since < 0 || n > since || now >= end || f.lies != l.lies
 		l.mu.Unlock()
+		if out && l.pushed { // an agent is silent meanwhile, and a call that met that stays so
+			<-r.Context().Done()
+			return
+		}
 		if out {
 			panic(http.ErrAbortHandler)
 		}
--- a/internal/rig/standin/plan.go
+++ b/internal/rig/standin/plan.go
@@ -45,7 +45,10 @@
 	Calls        float64   // mean calls to the next tier for each request
 	Notice       time.Duration
 	LinesASecond int // what the Boxliste can send to all nodes together
-	DrainGrace   time.Duration
+	// Pushed: lists come from an agent beside each node, which has a change at once and answers at no cost; while the
+	// Boxliste is out of order it is silent.
+	Pushed     bool
+	DrainGrace time.Duration
 }
 
 // Default is a small fleet in the likeness of the service: three classes, two
--- a/internal/rig/standin/standin_test.go
+++ b/internal/rig/standin/standin_test.go
@@ -574,8 +574,11 @@
 		{"away after it counts", [][2]time.Duration{{17 * time.Second, 30 * time.Second}}, nil, 10 * time.Second, 16 * time.Second},
 		{"missed by a swallowed watch", nil, []time.Duration{19 * time.Second}, 10 * time.Second, 19 * time.Second},
 		{"made after that", nil, []time.Duration{9 * time.Second}, 10 * time.Second, 16 * time.Second},
+		{"by an agent: at once", nil, []time.Duration{-1}, 10 * time.Second, 10 * time.Second},
+		{"by an agent that was silent", [][2]time.Duration{{9 * time.Second, 12 * time.Second}}, []time.Duration{-1}, 10 * time.Second, 12 * time.Second},
 	} {
 		f := &listeFront{liste: &Liste{away: c.away}, silent: c.silent}
+		f.liste.pushed = slices.Contains(c.silent, -1)
 		if got := f.due(c.visible); got != c.want {
 			t.Errorf("%s: counts as told at %v, want %v", c.name, got, c.want)
 		}
