--- a/internal/node/discovery/discovery_test.go
+++ b/internal/node/discovery/discovery_test.go
@@ -19,6 +19,21 @@
 // place is that of the only node.
 func place() endpoints.Place { return endpoints.Place{Nodes: 1} }
 
+// running keeps a watch from a generation on until stop.
+func running(t *testing.T, d *Discovery, since uint64) (stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		d.RunWatch(ctx, &since)
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
 // A watch that stays silent past its time is lost, and must begin anew at once from the same generation: the node would
 // else hear of nothing any more. The next poll must be one that proves itself. It is no failed call, after which the module
 // makes a pause: the poll has taken long enough.
@@ -34,13 +49,7 @@
 		}
 		return 50 * time.Millisecond, 100 * time.Millisecond
 	}
-	since := uint64(3)
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		watched.RunWatch(ctx, &since)
-	}()
+	stop := running(t, watched, 3)
 	watched.SetWatch(true)
 	WaitFor(t, "the watch begins anew", func() bool { return d.Calls() == 2 })
 	if q := d.Query(1); !strings.HasPrefix(q, "since=3&") {
@@ -49,8 +58,7 @@
 	if first, second := <-losts, <-losts; first || !second {
 		t.Errorf("the calls before failed: %v, %v", first, second)
 	}
-	cancel()
-	<-done
+	stop()
 	if len(reports) > 0 {
 		t.Errorf("reported %v", <-reports)
 	}
@@ -76,13 +84,7 @@
 		}
 		return time.Duration(ms) * time.Millisecond
 	}
-	since := uint64(3)
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		watched.RunWatch(ctx, &since)
-	}()
+	stop := running(t, watched, 3)
 	const short = 2 * time.Second
 	watched.SetWatch(true)
 	if got := waits(d, 0); got <= short {
@@ -109,8 +111,7 @@
 	if got := waits(next, 0); got > short {
 		t.Errorf("at a new address the poll waits %v", got)
 	}
-	cancel()
-	<-done
+	stop()
 }
 
 // A node that has a list and asks for the whole in doubt must not lose by that what it has: if the call fails, the next
@@ -119,13 +120,7 @@
 	d := NewDiscoveryServer(t)
 	reports := make(chan *endpoints.List, 10)
 	watched := New(d.Listener.Addr().String(), place(), Quiet(), func(l *endpoints.List) { reports <- l })
-	since := uint64(7)
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		watched.RunWatch(ctx, &since)
-	}()
+	stop := running(t, watched, 7)
 	watched.SetWatch(true)
 	WaitFor(t, "the watch begins", func() bool { return d.Calls() == 1 })
 	watched.Renew(true)
@@ -140,8 +135,7 @@
 	if q := d.Query(2); !strings.HasPrefix(q, "since=7&") {
 		t.Errorf("then asked %q", q)
 	}
-	cancel()
-	<-done
+	stop()
 }
 
 // When discovery moves, the watch must go on at the new address at once and from
@@ -152,13 +146,7 @@
 	old, next := NewDiscoveryServer(t), NewDiscoveryServer(t)
 	reports := make(chan *endpoints.List, 10)
 	d := New(old.Listener.Addr().String(), place(), Quiet(), func(l *endpoints.List) { reports <- l })
-	since := uint64(3)
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		d.RunWatch(ctx, &since)
-	}()
+	stop := running(t, d, 3)
 	d.SetWatch(true)
 	WaitFor(t, "the watch is at the old address", func() bool { return old.Calls() == 1 })
 	d.Move(next.Listener.Addr().String())
@@ -183,8 +171,7 @@
 	if q := old.Query(1); !strings.HasPrefix(q, "since=4&") {
 		t.Errorf("asked with %q", q)
 	}
-	cancel()
-	<-done
+	stop()
 }
 
 // A list or a head without end must fail the call early: the node's memory is
@@ -288,13 +275,7 @@
 			s, next := newHeldServer(t), newHeldServer(t)
 			reports := make(chan *endpoints.List, 10)
 			d := New(s.address, place(), Quiet(), func(l *endpoints.List) { reports <- l })
-			since := uint64(3)
-			ctx, cancel := context.WithCancel(t.Context())
-			done := make(chan struct{})
-			go func() {
-				defer close(done)
-				d.RunWatch(ctx, &since)
-			}()
+			stop := running(t, d, 3)
 			d.SetWatch(true)
 			first := s.call(t)
 			text := ListOf(4, false, "127.0.0.1:1 DRAINING")
@@ -323,8 +304,7 @@
 			if len(reports) > 0 {
 				t.Errorf("an older list was reported: %v", <-reports)
 			}
-			cancel()
-			<-done
+			stop()
 		})
 	}
 }
@@ -335,13 +315,7 @@
 	reports := make(chan *endpoints.List, 10)
 	d := New(s.address, place(), Quiet(), func(l *endpoints.List) { reports <- l })
 	d.poll = func(time.Duration, bool) (wait, patience time.Duration) { return time.Minute, 2 * Patience }
-	since := uint64(3)
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		d.RunWatch(ctx, &since)
-	}()
+	stop := running(t, d, 3)
 	d.SetWatch(true)
 	first := s.call(t)
 	d.Renew(false)
@@ -363,8 +337,7 @@
 	if len(s.calls) > 0 || len(reports) > 0 {
 		t.Errorf("%d more calls, %d more reports", len(s.calls), len(reports))
 	}
-	cancel()
-	<-done
+	stop()
 }
 
 // Where lists are pushed the module asks for none, and what the agent has counts as told at once: the watch must go on by
@@ -375,13 +348,7 @@
 	s := newHeldServer(t)
 	reports := make(chan *endpoints.List, 100)
 	d := New(s.address, endpoints.Place{Nodes: 4, Pushed: true}, Quiet(), func(l *endpoints.List) { reports <- l })
-	since := uint64(3)
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		d.RunWatch(ctx, &since)
-	}()
+	stop := running(t, d, 3)
 	for range 4 { // silent: each call ends by itself, and the next one comes
 		c := s.call(t)
 		ms, err := strconv.Atoi(strings.TrimPrefix(c.query, "since=3&timeout_ms="))
@@ -399,8 +366,7 @@
 	if c := s.call(t); !strings.HasPrefix(c.query, "since=5&") {
 		t.Errorf("goes on with %q", c.query)
 	}
-	cancel()
-	<-done
+	stop()
 	// How long a call that is not answered keeps the next one waiting: less than rule 3 gives, whatever came before.
 	for _, lost := range []bool{false, true} {
 		if wait, patience := d.poll(0, lost); wait > patience || patience+agentPause > 400*time.Millisecond {
@@ -415,13 +381,7 @@
 	s := newHeldServer(t)
 	reports := make(chan *endpoints.List, 10)
 	d := New(s.address, place(), Quiet(), func(l *endpoints.List) { reports <- l })
-	since := uint64(3)
-	ctx, cancel := context.WithCancel(t.Context())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		d.RunWatch(ctx, &since)
-	}()
+	stop := running(t, d, 3)
 	d.SetWatch(true)
 	first := s.call(t)
 	d.Renew(false)
@@ -439,6 +399,5 @@
 	if c := s.call(t); !strings.HasPrefix(c.query, "since=4&") {
 		t.Errorf("goes on with %q", c.query)
 	}
-	cancel()
-	<-done
+	stop()
 }
--- a/internal/rig/standin/judge/judge.go
+++ b/internal/rig/standin/judge/judge.go
@@ -258,14 +258,20 @@
 func (j *Judge) Told(at time.Duration, node, box string, s State) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	boxes := j.heard(node)
+	if all := boxes[box]; len(all) == 0 || all[len(all)-1].state != s {
+		boxes[box] = append(all, word{at: at, state: s})
+	}
+}
+
+// heard is what a node was told, by box; j.mu is held.
+func (j *Judge) heard(node string) map[string][]word {
 	boxes := j.words[node]
 	if boxes == nil {
 		boxes = map[string][]word{}
 		j.words[node] = boxes
 	}
-	if all := boxes[box]; len(all) == 0 || all[len(all)-1].state != s {
-		boxes[box] = append(all, word{at: at, state: s})
-	}
+	return boxes
 }
 
 // Known says that a box's state counts as told to a node from a time on, as of a version of the list: it has been written
@@ -273,11 +279,7 @@
 func (j *Judge) Known(at time.Duration, node, box string, s State, version int, due bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	boxes := j.words[node]
-	if boxes == nil {
-		boxes = map[string][]word{}
-		j.words[node] = boxes
-	}
+	boxes := j.heard(node)
 	boxes[box] = append(boxes[box], word{at, s, version, due})
 }
 
