--- a/decide/decide.go
+++ b/decide/decide.go
@@ -53,14 +53,6 @@
 	askToken     = 1 << 62                // timer that asks for the list; others carry a request's id
 )
 
-// health tells whether something may be sent to: one server, or a zone as seen from here.
-type health struct {
-	inflight  int
-	fails     int // in a row
-	ejections int // ejections since it last served
-	outUntil  time.Duration
-}
-
 // fail counts a failure, and ejects after some in a row, each time for longer.
 func (h *health) fail(now time.Duration, after int) {
 	h.fails++
@@ -80,64 +72,6 @@
 	return h.outUntil > now || h.ejections > 0 && h.inflight > 0
 }
 
-// idling counts what became of sends on connections that had idled for about as long.
-type idling struct{ lost, answered float64 }
-
-// zone is what a node knows of a zone.
-type zone struct {
-	health
-	members int // of the subset
-}
-
-// server is one server as this node sees it.
-type server struct {
-	Server
-	health
-	zone   *zone
-	rank   uint64 // place on the ring
-	weight float64
-	late   float64       // response time against that of all servers, beyond what its size says ...
-	lateAt time.Duration // ... as of this time
-	tokens float64       // sends it may get while cold
-	filled time.Duration
-	pooled
-	idle   []time.Duration // since when its idle connections have been so; the last is used first
-	seen   bool            // named by the whole list that comes now
-	listed bool            // among the members
-	near   bool
-}
-
-// attempt is one send of a request.
-type attempt struct {
-	server  *server
-	sent    time.Duration
-	due     time.Duration // when an answer is out of the usual
-	copyAt  time.Duration // when a second copy may go out; 0: never
-	span    int           // of the idle time of its connection; -1: none to speak of
-	overdue bool
-	done    bool
-	result  Result // once done
-}
-
-// call is a request that still needs its final answer.
-type call struct {
-	Request
-	bounds         *Bounds       // those that it arrived under
-	arrived, until time.Duration // until: when an answer stops being of use
-	resume         time.Duration // no further attempt before this
-	attempts       []attempt
-	open           int           // attempts without an outcome
-	ran            bool          // an attempt may have run ...
-	ranAt          time.Duration // ... sent first at this time ...
-	ranOn          *server       // ... to this server
-}
-
-// tenant meters one tenant's traffic against its share.
-type tenant struct {
-	tokens float64
-	filled time.Duration
-}
-
 // Balancer decides for one node.
 type Balancer struct {
 	noNear  bool // no near server may take the call that is looked at
