Back off from an overloaded discovery, and doubt servers while the list is unconfirmed

A probe of each call to discovery shows congestion collapse: it works off 42 calls a second, the fleet makes 98 to 143, each accepted call waits for more than its time-out of 2 s in the queue, and from 17.9 s to 23 s none is answered. One break traced: server drains at 15.31 s, counts as told at 21.31 s; node n19 calls discovery 12 times from 14.9 s on and gets 503 each time, takes the last answer of the server for a request sent at 16.97 s, is turned away by it 17 times from 17.52 s on, and sends again at 21.901 s.

Ruled out: the taking in of lists (no list came), connections kept to drained servers, a poll that was swallowed.

Change: the pause after calls that discovery had no capacity for (an HTTP error) grows to several seconds by the size of the fleet, and one answer does not end that; after an answer with changes a node pauses before it watches again while calls fail; an early question waits until the call that is out has left the queue; nodes spread their first call at a new address and at the start. From the time on at which a change may count as told that a node can't have received, it sends to servers that took new work within 4 s (servers take work for some 2 s after their drain was listed), or, if there is none, to the one that did so last and has turned nothing away since.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -41,6 +41,9 @@
 	holdStep     = 10 * time.Millisecond  // wait before looking again for a server
 	askStep      = 250 * time.Millisecond // first wait before asking for the list again
 	askMost      = 3 * time.Second / 2    // the longest: what discovery has known for 6 s counts as told
+	askOverload  = 12 * time.Second       // the longest after calls that discovery had no capacity for ...
+	askANode     = 100 * time.Millisecond // ... in a large fleet, whose retries would keep it from recovering
+	proofLasts   = 4 * time.Second        // a server may take new work for 2 s after its drain was listed, 6 s before it counts
 	sizeSlack    = 1.0 / 16               // part by which a subset may be larger or smaller than its share
 	startSlack   = 32                     // part of a ring (one in so many) by which its start may be off
 	spread       = 0.63224128846          // multiples of it spread evenly, every 2nd to 16th of them too
@@ -119,6 +122,8 @@
 	asking       bool
 	watching     bool
 	askTries     int
+	heard        time.Duration   // when discovery last answered
+	unconfirmed  time.Duration   // from then on drains that this node was not told of may count as told; 0: never
 	longest      []time.Duration // largest TTL seen, by class
 }
 
@@ -204,8 +209,9 @@
 func (b *Balancer) Members(now time.Duration, m Members, out []Action) []Action {
 	b.begin(now, out)
 	if b.set.MustAsk && m.Change != ListKept {
-		b.follow(m.Change)
+		b.follow(&m)
 	}
+	b.confirm(&m)
 	if m.Change == ListFailed {
 		return b.out
 	}
@@ -342,18 +348,46 @@
 	return time.Duration((0.5 + b.rng.Float64()/2) * float64(wait))
 }
 
-// follow keeps a watch on a list that comes only when asked for, and asks again with back-off and jitter.
-func (b *Balancer) follow(c Change) {
-	b.asking, b.watching = false, c == ListDiff || c == ListFull
-	wait := max(holdStep, min(askStep<<min(b.askTries, 8), askMost, b.set.AskWithin/2))
+// follow keeps a watch on a list that comes only when asked for, and asks again with back-off and jitter. After calls that
+// discovery had no capacity for the pause is longer, by the size of the fleet, and one answer does not end that.
+func (b *Balancer) follow(m *Members) {
+	b.asking, b.watching = false, m.Change == ListDiff || m.Change == ListFull
 	if b.watching {
-		b.askTries = 0
+		b.askTries /= 2
 		return
 	}
-	b.askTries++
+	most := askMost
+	if m.Overloaded {
+		b.askTries++ // twice as steep
+		most = min(max(most, time.Duration(b.set.Nodes)*askANode), askOverload)
+	}
+	wait := max(holdStep, min(askStep<<min(b.askTries, 8), most, b.set.AskWithin/2))
+	b.askTries = min(b.askTries+1, 8)
 	b.act(Action{Kind: After, Token: askToken, Wait: b.jitter(wait)})
 }
 
+// confirm books until when the list is confirmed.
+func (b *Balancer) confirm(m *Members) {
+	if m.Change == ListDiff || m.Change == ListFull {
+		b.heard, b.unconfirmed = b.now, 0
+	}
+	if m.Confirmed > 0 && (b.unconfirmed == 0 || m.Confirmed < b.unconfirmed) {
+		b.unconfirmed = m.Confirmed
+	}
+}
+
+// unproven tells whether a drain of the server may count as told though this node has not heard of it: its list is not
+// confirmed, and the server has not taken new work of late.
+func (b *Balancer) unproven(s *server) bool {
+	return b.doubting() && b.now-s.proof() > proofLasts
+}
+
+// doubting tells whether drains that this node has not heard of may count as told.
+func (b *Balancer) doubting() bool { return b.unconfirmed > 0 && b.now >= b.unconfirmed }
+
+// denied tells whether the server turned work away since it or discovery proved it good.
+func (b *Balancer) denied(s *server) bool { return s.deniedAt > max(s.provenAt, b.heard) }
+
 // Routes takes new bounds, for requests that come from now on; those under way keep theirs.
 func (b *Balancer) Routes(now time.Duration, bounds []Bounds, out []Action) []Action {
 	b.begin(now, out)
@@ -768,19 +802,41 @@
 				return b.two(b.connected(b.scratch))
 			}
 		}
-		return nil
+		return b.leastDoubtful(c)
 	}
 	_, out := b.faults()
 	trust := 2*out < len(b.near)+len(b.far)
 	near := b.choice(c, b.near, trust)
 	b.noNear = near == nil
 	far := b.choice(c, b.far, trust)
+	if near == nil && far == nil {
+		return b.leastDoubtful(c)
+	}
 	if near == nil || far != nil && (b.cost(b.set.Prices.CrossZone)*b.load(far) < b.load(near)) {
 		return far
 	}
 	return near
 }
 
+// leastDoubtful is the server to send to where the list is not confirmed and none is proven: the one that was proven last,
+// of the subset if possible, and none that has turned work away since.
+func (b *Balancer) leastDoubtful(c *call) (best *server) {
+	if !b.doubting() {
+		return nil
+	}
+	for _, list := range [...][]*server{b.near, b.far, b.homes, b.others} {
+		for _, s := range list {
+			if !b.denied(s) && !s.out(b.now) && (best == nil || s.proof() > best.proof()) && b.allowed(c, s) {
+				best = s
+			}
+		}
+		if best != nil {
+			return best
+		}
+	}
+	return nil
+}
+
 // cost is how many times as loaded a server counts where a send there has a price. A call of b.late aims
 // saves b.late*(1-1/x) at one x times as idle; an aim saved is taken to be worth a request, and must exceed
 // the price.
@@ -865,13 +921,18 @@
 
 // fits tells whether a server may take a call; ejected ones may not where that is trusted.
 func (b *Balancer) fits(c *call, s *server, trust, others bool) bool {
-	if trust && (s.out(b.now) || s.zone.out(b.now)) || !b.inGroup(c, s) || !b.may(s) {
+	if trust && (s.out(b.now) || s.zone.out(b.now)) || b.unproven(s) || !b.allowed(c, s) {
 		return false
 	}
 	// Not the server that just failed, unless a keyed call has no other: it would wait in vain.
 	n := len(c.attempts)
-	return !(trust && n > 0 && c.attempts[n-1].server == s && others) &&
-		!(s.Untried && b.set.Classes[c.Class].Effect == Once) // another may answer at its address
+	return !(trust && n > 0 && c.attempts[n-1].server == s && others)
+}
+
+// allowed tells whether the rules let a server take a call: its key's group, a cold server's budget, and what may answer
+// at its address.
+func (b *Balancer) allowed(c *call, s *server) bool {
+	return b.inGroup(c, s) && b.may(s) && !(s.Untried && b.set.Classes[c.Class].Effect == Once)
 }
 
 // usable appends the servers of a list that may take a call.
@@ -912,6 +973,7 @@
 		s.inflight = max(0, s.inflight-1)
 		s.zone.inflight = max(0, s.zone.inflight-1)
 		b.judge(s, o.Result)
+		s.prove(now, &o)
 		if s.Health == Removed && s.inflight == 0 {
 			delete(b.servers, o.Server)
 		}
--- a/decide/rows.go
+++ b/decide/rows.go
@@ -30,13 +30,15 @@
 type server struct {
 	Server
 	health
-	zone   *zone
-	rank   uint64 // place on the ring
-	weight float64
-	late   float64       // response time against that of all servers, beyond what its size says ...
-	lateAt time.Duration // ... as of this time
-	tokens float64       // sends it may get while cold
-	filled time.Duration
+	zone     *zone
+	rank     uint64 // place on the ring
+	weight   float64
+	late     float64       // response time against that of all servers, beyond what its size says ...
+	lateAt   time.Duration // ... as of this time
+	provenAt time.Duration // the last send that it served ...
+	deniedAt time.Duration // ... and the last one that it turned away
+	tokens   float64       // sends it may get while cold
+	filled   time.Duration
 	pooled
 	idle   []time.Duration // since when its idle connections have been so; the last is used first
 	seen   bool            // named by the whole list that comes now
@@ -75,6 +77,19 @@
 	filled time.Duration
 }
 
+// proof is the latest time at which the server is known to have taken new work: a process that has just started does.
+func (s *server) proof() time.Duration { return max(s.provenAt, s.Started) }
+
+// prove books what an outcome says of whether the server takes new work.
+func (s *server) prove(now time.Duration, o *Outcome) {
+	switch sent := now - o.Elapsed; o.Result {
+	case Served:
+		s.provenAt = max(s.provenAt, sent)
+	case Full:
+		s.deniedAt = max(s.deniedAt, sent)
+	}
+}
+
 // byRing orders servers by their place on the ring.
 func byRing(x, y *server) int { return cmp.Or(cmp.Compare(x.rank, y.rank), cmp.Compare(x.ID, y.ID)) }
 
--- a/internal/node/discovery/discovery.go
+++ b/internal/node/discovery/discovery.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -35,14 +36,23 @@
 	watch   chan bool                                                          // on or off, the newest counts
 	renew   chan bool                                                          // the watch begins anew; true: with the whole list
 	fetch   chan struct{}                                                      // one call for the whole list
-	report  func(*endpoints.List)                                              // called with each answer; nil: a call failed
+	report  func(Update)                                                       // called with what came of each call
 	pushed  bool                                                               // an agent has the lists, and nobody asks for the watch
 	poll    func(wall time.Duration, lost bool) (wait, patience time.Duration) // PollSchedule.Wait; RunWatch's
+	pace    *endpoints.Pace                                                    // RunWatch's
+	queued  time.Duration                                                      // RunWatch's: a call this young may still wait in discovery's queue
+	spread  func() time.Duration                                               // waits before the first call at a new address; RunWatch's
 
 	mu     sync.Mutex
 	asking *endpoints.Asking // how long calls for the whole list may take
 }
 
+// Update is what came of a call to discovery.
+type Update struct {
+	List    *endpoints.List   // nil: the call failed
+	Failure endpoints.Failure // why; meaningless with a list
+}
+
 // service is discovery at one address.
 type service struct {
 	address string
@@ -68,7 +78,9 @@
 }
 
 // New makes the calls of a node that stands there in its fleet.
-func New(address string, place endpoints.Place, log *slog.Logger, report func(*endpoints.List)) *Discovery {
+func New(address string, place endpoints.Place, log *slog.Logger, report func(Update)) *Discovery {
+	asking := endpoints.NewAsking(place.Nodes, callWait)
+	draw := rand.New(rand.NewPCG(place.Seed, 0x6d6f7665))
 	d := &Discovery{
 		log:    log,
 		watch:  make(chan bool, 1),
@@ -77,7 +89,10 @@
 		report: report,
 		pushed: place.Pushed,
 		poll:   endpoints.NewPollSchedule(place).Wait,
-		asking: endpoints.NewAsking(place.Nodes, callWait),
+		pace:   endpoints.NewPace(place.AskWithin, place.Seed),
+		spread: func() time.Duration { return asking.First(true, draw.Float64()) },
+		queued: queued,
+		asking: asking,
 	}
 	d.service.Store(newService(address))
 	return d
@@ -154,6 +169,7 @@
 			return
 		case <-d.fetch:
 		}
+		begun := time.Now()
 		l, err := d.whole(ctx, d.call, 0)
 		for errors.Is(err, errMoved) {
 			l, err = d.whole(ctx, d.call, 0)
@@ -164,7 +180,7 @@
 		if err != nil {
 			d.log.Warn("asking for the list failed", "err", err)
 		}
-		d.report(l)
+		d.report(Update{l, failure(err, time.Since(begun), 0)})
 	}
 }
 
@@ -176,6 +192,16 @@
 
 func (e statusError) Error() string { return "discovery answered " + string(e) }
 
+// failure says why a call brought no list.
+func failure(err error, took, wait time.Duration) endpoints.Failure {
+	f := endpoints.Failure{Took: took, Wait: wait}
+	var status statusError
+	if errors.As(err, &status) {
+		f.Reason = endpoints.Overloaded
+	}
+	return f
+}
+
 // asks makes one call.
 type asks func(ctx context.Context, query string, wait time.Duration) (*endpoints.List, error)
 
--- a/internal/node/discovery/discovery_test.go
+++ b/internal/node/discovery/discovery_test.go
@@ -19,6 +19,16 @@
 // place is that of the only node.
 func place() endpoints.Place { return endpoints.Place{Nodes: 1} }
 
+// listsTo passes on what the module would be told of: lists, and nil for calls that failed. A silent long poll is none of
+// these.
+func listsTo(lists chan<- *endpoints.List) func(Update) {
+	return func(u Update) {
+		if u.List != nil || u.Failure.Reason != endpoints.Silent {
+			lists <- u.List
+		}
+	}
+}
+
 // running keeps a watch from a generation on until stop.
 func running(t *testing.T, d *Discovery, since uint64) (stop func()) {
 	t.Helper()
@@ -40,7 +50,7 @@
 func TestSilentWatchBeginsAnew(t *testing.T) {
 	d := NewDiscoveryServer(t)
 	reports := make(chan *endpoints.List, 10)
-	watched := New(d.Listener.Addr().String(), place(), Quiet(), func(l *endpoints.List) { reports <- l })
+	watched := New(d.Listener.Addr().String(), place(), Quiet(), listsTo(reports))
 	losts := make(chan bool, 10)
 	watched.poll = func(_ time.Duration, lost bool) (wait, patience time.Duration) {
 		losts <- lost
@@ -70,7 +80,7 @@
 func TestPollsProveThemselvesAfterAFailure(t *testing.T) {
 	d, next := NewDiscoveryServer(t), NewDiscoveryServer(t)
 	reports := make(chan *endpoints.List, 10)
-	watched := New(d.Listener.Addr().String(), place(), Quiet(), func(l *endpoints.List) { reports <- l })
+	watched := New(d.Listener.Addr().String(), place(), Quiet(), listsTo(reports))
 	waits := func(d *DiscoveryServer, call int) time.Duration {
 		t.Helper()
 		WaitFor(t, "a call comes", func() bool { return d.Calls() > call })
@@ -119,7 +129,8 @@
 func TestAWholeListInVainKeepsTheGeneration(t *testing.T) {
 	d := NewDiscoveryServer(t)
 	reports := make(chan *endpoints.List, 10)
-	watched := New(d.Listener.Addr().String(), place(), Quiet(), func(l *endpoints.List) { reports <- l })
+	watched := New(d.Listener.Addr().String(), place(), Quiet(), listsTo(reports))
+	watched.queued = 0 // an early question does not wait for the first call to have left the queue
 	stop := running(t, watched, 7)
 	watched.SetWatch(true)
 	WaitFor(t, "the watch begins", func() bool { return d.Calls() == 1 })
@@ -145,7 +156,7 @@
 func TestWatchMovesWithDiscovery(t *testing.T) {
 	old, next := NewDiscoveryServer(t), NewDiscoveryServer(t)
 	reports := make(chan *endpoints.List, 10)
-	d := New(old.Listener.Addr().String(), place(), Quiet(), func(l *endpoints.List) { reports <- l })
+	d := New(old.Listener.Addr().String(), place(), Quiet(), listsTo(reports))
 	stop := running(t, d, 3)
 	d.SetWatch(true)
 	WaitFor(t, "the watch is at the old address", func() bool { return old.Calls() == 1 })
@@ -274,7 +285,8 @@
 		t.Run(name, func(t *testing.T) {
 			s, next := newHeldServer(t), newHeldServer(t)
 			reports := make(chan *endpoints.List, 10)
-			d := New(s.address, place(), Quiet(), func(l *endpoints.List) { reports <- l })
+			d := New(s.address, place(), Quiet(), listsTo(reports))
+			d.queued = 0 // an early question does not wait for the first call to have left the queue
 			stop := running(t, d, 3)
 			d.SetWatch(true)
 			first := s.call(t)
@@ -313,8 +325,9 @@
 func TestOneCallIsLeftOfTwo(t *testing.T) {
 	s := newHeldServer(t)
 	reports := make(chan *endpoints.List, 10)
-	d := New(s.address, place(), Quiet(), func(l *endpoints.List) { reports <- l })
+	d := New(s.address, place(), Quiet(), listsTo(reports))
 	d.poll = func(time.Duration, bool) (wait, patience time.Duration) { return time.Minute, 2 * Patience }
+	d.queued = 0 // as above
 	stop := running(t, d, 3)
 	d.SetWatch(true)
 	first := s.call(t)
@@ -347,7 +360,7 @@
 func TestPushedListsAreFollowed(t *testing.T) {
 	s := newHeldServer(t)
 	reports := make(chan *endpoints.List, 100)
-	d := New(s.address, endpoints.Place{Nodes: 4, Pushed: true}, Quiet(), func(l *endpoints.List) { reports <- l })
+	d := New(s.address, endpoints.Place{Nodes: 4, Pushed: true}, Quiet(), listsTo(reports))
 	stop := running(t, d, 3)
 	for range 4 { // silent: each call ends by itself, and the next one comes
 		c := s.call(t)
@@ -380,7 +393,8 @@
 func TestAnAnswerAfterAFailureGoesOn(t *testing.T) {
 	s := newHeldServer(t)
 	reports := make(chan *endpoints.List, 10)
-	d := New(s.address, place(), Quiet(), func(l *endpoints.List) { reports <- l })
+	d := New(s.address, place(), Quiet(), listsTo(reports))
+	d.queued = 0 // as above
 	stop := running(t, d, 3)
 	d.SetWatch(true)
 	first := s.call(t)
--- a/internal/node/discovery/watch.go
+++ b/internal/node/discovery/watch.go
@@ -10,9 +10,14 @@
 	"curlewring/internal/servers/endpoints"
 )
 
-// overlap is how long the call before goes on once a newer one has been answered: what discovery wrote on it at the same
-// time has come by then.
-const overlap = 250 * time.Millisecond
+const (
+	// overlap is how long the call before goes on once a newer one has been answered: what discovery wrote on it at the
+	// same time has come by then.
+	overlap = 250 * time.Millisecond
+	// A call that is younger than this may still wait in discovery's queue: a second one beside it would only make the
+	// queue longer.
+	queued = 4 * time.Second
+)
 
 // watch is a watch as RunWatch keeps it. It belongs to that goroutine.
 type watch struct {
@@ -25,7 +30,8 @@
 	newest *poll // nil: none is out
 	before *poll // one that was made anew: its answer may be on its way, and has counted as told since it was written
 	limit  *time.Timer
-	pause  *time.Timer
+	pause  *time.Timer // ends a pause before the next call
+	again  *time.Timer // ends the wait of an early question for the call that is out
 	ended  chan ended
 	out    sync.WaitGroup
 }
@@ -34,6 +40,8 @@
 type poll struct {
 	whole  bool
 	since  *uint64
+	begun  time.Time
+	wait   time.Duration // for which discovery was asked to wait
 	cancel context.CancelFunc
 }
 
@@ -52,10 +60,12 @@
 // tried again at once.
 func (d *Discovery) RunWatch(ctx context.Context, since *uint64) {
 	ctx, cancel := context.WithCancel(ctx)
-	w := &watch{Discovery: d, since: since, ended: make(chan ended), limit: time.NewTimer(0), pause: time.NewTimer(0)}
+	w := &watch{Discovery: d, since: since, ended: make(chan ended), limit: time.NewTimer(0)}
+	w.pause, w.again = time.NewTimer(time.Hour), time.NewTimer(time.Hour)
 	w.on, w.wanted = d.pushed, d.pushed
 	defer w.limit.Stop()
 	defer w.pause.Stop()
+	defer w.again.Stop()
 	defer w.out.Wait()
 	defer cancel()
 	for {
@@ -77,17 +87,15 @@
 				continue // that is as much as can be asked for
 			}
 			w.whole = w.whole || whole
-			w.anew()
-		case <-at.left.Done(): // the new address has yet to prove itself
-			if w.newest != nil && w.newest.whole && w.since != nil {
-				w.whole = true
-			}
-			w.on, w.lost = w.wanted, true
-			w.anew()
+			w.early()
+		case <-w.again.C:
+			w.early()
+		case <-at.left.Done():
+			w.move()
 		case e := <-w.ended:
 			w.take(e)
 		case <-w.pause.C:
-			w.on = w.on || w.pushed
+			w.on = w.wanted
 		case <-w.limit.C:
 			w.before = w.callOff(w.before)
 		}
@@ -100,7 +108,7 @@
 		w.since = from
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	p := &poll{whole: w.whole || w.since == nil, since: w.since, cancel: cancel}
+	p := &poll{whole: w.whole || w.since == nil, since: w.since, cancel: cancel, begun: time.Now()}
 	w.newest, w.whole = p, false
 	var call func() (*endpoints.List, error)
 	switch {
@@ -111,7 +119,8 @@
 	case p.whole:
 		call = func() (*endpoints.List, error) { return w.Discovery.whole(ctx, at.call, wholeWait) }
 	default:
-		wait, patience := w.poll(time.Duration(time.Now().UnixNano()), w.lost)
+		wait, patience := w.poll(time.Duration(p.begun.UnixNano()), w.lost)
+		p.wait = wait
 		query := fmt.Sprintf("?since=%d&timeout_ms=%d", *p.since, wait.Milliseconds())
 		call = func() (*endpoints.List, error) { return at.call(ctx, query, patience) }
 	}
@@ -125,6 +134,32 @@
 	})
 }
 
+// early makes the next call before the one that is out has ended, once that one has left discovery's queue.
+func (w *watch) early() {
+	if w.newest == nil {
+		return // the next call is as early as discovery can bear
+	}
+	if wait := w.queued - time.Since(w.newest.begun); wait > 0 && !w.pushed {
+		w.again.Reset(wait)
+		return
+	}
+	w.anew()
+}
+
+// move has the watch go on at discovery's new address. All nodes move at once, so each waits for a part of the time that a
+// fleet of this size needs; what the old address still tells counts meanwhile.
+func (w *watch) move() {
+	if w.newest != nil && w.newest.whole && w.since != nil {
+		w.whole = true
+	}
+	w.on, w.lost = w.wanted, true // the new address has yet to prove itself
+	w.anew()
+	if wait := w.spread(); w.since != nil && wait > 0 {
+		w.on = false
+		w.pause.Reset(wait)
+	}
+}
+
 // callOff ends a call, if there is one; nothing that it brings is taken any more.
 func (w *watch) callOff(p *poll) *poll {
 	if p != nil {
@@ -158,20 +193,15 @@
 			if !w.pushed || !w.lost { // an agent is silent while discovery is down: told once
 				w.log.Warn("the watch failed", "err", e.err)
 			}
-			var status statusError
-			w.lost = !errors.As(e.err, &status)
-			if !e.whole && errors.Is(e.err, context.DeadlineExceeded) {
-				return // a silent one took long enough: the next begins at once
-			}
-			w.on = false
-			if w.pushed {
-				w.pause.Reset(agentPause)
-			}
-			w.report(nil)
+			w.failed(e)
 			return
 		}
 		w.lost = false
 		w.limit.Reset(overlap)
+		if pause := w.pace.Answered(len(e.list.Entries) > 0); pause > 0 {
+			w.on = false
+			w.pause.Reset(pause)
+		}
 	default:
 		return // called off as it ended
 	}
@@ -179,5 +209,25 @@
 		return // the other call has brought a newer one meanwhile
 	}
 	w.since = &e.list.Generation
-	w.report(e.list)
+	w.report(Update{List: e.list})
+}
+
+// failed takes the end of the newest call, which brought no list.
+func (w *watch) failed(e ended) {
+	f := failure(e.err, time.Since(e.begun), e.wait)
+	w.lost = f.Reason != endpoints.Overloaded
+	if !e.whole && errors.Is(e.err, context.DeadlineExceeded) {
+		f.Reason = endpoints.Silent // it took long enough: the next begins at once
+		w.report(Update{Failure: f})
+		return
+	}
+	if f.Reason == endpoints.Overloaded {
+		w.pace.Overloaded()
+	}
+	w.on = false
+	w.pause.Stop()
+	if w.pushed {
+		w.pause.Reset(agentPause)
+	}
+	w.report(Update{Failure: f})
 }
--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -32,6 +32,7 @@
 // listed takes a list that discovery has told.
 func (l *loop) listed(m *endpoints.List) {
 	l.told = m.Generation
+	l.confirmation.Answered(l.now)
 	u := l.view.Apply(l.now, m)
 	l.strange(u.Odd)
 	l.signs.Answered(l.now, len(u.Changes) > 0)
@@ -56,6 +57,32 @@
 	l.later()
 }
 
+// unlisted takes a call to discovery that brought no list.
+func (l *loop) unlisted(f endpoints.Failure) {
+	m := decide.Members{
+		Change: decide.ListFailed, Overloaded: f.Reason == endpoints.Overloaded, There: l.past.there(), Rate: l.past.rate(),
+	}
+	if f.Reason == endpoints.Silent { // the watch goes on by itself
+		m.Change = decide.ListKept
+	} else {
+		l.signs.Answered(l.now, false)
+	}
+	if l.set.MustAsk { // an agent that is silent has learnt nothing either
+		m.Confirmed = l.confirmation.Failed(l.now, f)
+	}
+	l.carryOut(l.balancer.Members(l.now, m, l.actions[:0]))
+}
+
+// moved takes a move of discovery to another address.
+func (l *loop) moved() {
+	if l.set.MustAsk {
+		m := decide.Members{
+			Change: decide.ListKept, Confirmed: l.confirmation.Moved(l.now), There: l.past.there(), Rate: l.past.rate(),
+		}
+		l.carryOut(l.balancer.Members(l.now, m, l.actions[:0]))
+	}
+}
+
 // later passes on what the view lets wait, once it is time.
 func (l *loop) later() {
 	at, ok := l.view.Next()
@@ -98,7 +125,7 @@
 	}
 	l.asked = true
 	wait := l.asking.First(l.sendable > 0, l.draw.Float64())
-	if within := l.set.AskWithin / 4; within > 0 {
+	if within := l.set.AskWithin / 2; within > 0 {
 		wait = min(wait, within)
 	}
 	if wait <= 0 {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -80,8 +80,7 @@
 		upstream.Outcome
 		elapsed time.Duration
 	}
-	listed  struct{ *endpoints.List } // nil: a call failed
-	closing struct{}                  // the node ends: fail what is left
+	closing struct{} // the node ends: fail what is left
 
 	// stepped is a piece of background work on what the loop owns.
 	stepped struct {
@@ -128,12 +127,13 @@
 	tidy      func()                       // called every sweepEvery: what is old may go
 	lag       func(now, lag time.Duration) // told how long requests wait for the loop
 
-	view   *endpoints.View   // what to believe of discovery
-	signs  *endpoints.Signs  // when to ask it early
-	asking *endpoints.Asking // when to ask it first
-	past   *past             // what is left of the last life; nil: nothing
-	record *record.Record    // how a node without a list comes by one; nil: it asks discovery
-	pool   *pool             // cold servers' budgets, pooled with other nodes'; nil: this node goes by itself
+	view         *endpoints.View         // what to believe of discovery
+	signs        *endpoints.Signs        // when to ask it early
+	confirmation *endpoints.Confirmation // until when its list is as good as confirmed
+	asking       *endpoints.Asking       // when to ask it first
+	past         *past                   // what is left of the last life; nil: nothing
+	record       *record.Record          // how a node without a list comes by one; nil: it asks discovery
+	pool         *pool                   // cold servers' budgets, pooled with other nodes'; nil: this node goes by itself
 
 	ctx    context.Context // its end ends the loop and all attempts
 	events chan any
@@ -167,16 +167,17 @@
 	return &loop{
 		ctx:   ctx,
 		clock: clock, set: &c.Settings, upstream: up, log: log, first: c.Routes,
-		balancer: decide.New(c.Settings, c.Seed, clock.Now()),
-		events:   make(chan any, 256),
-		pending:  map[uint64]*pending{},
-		peers:    map[string]*peer{},
-		started:  map[string]time.Duration{},
-		longList: longList,
-		view:     endpoints.New(endpoints.Settings{}),
-		signs:    endpoints.NewSigns(c.Settings.Nodes, c.Seed),
-		asking:   endpoints.NewAsking(c.Settings.Nodes, 0),
-		draw:     rand.New(rand.NewPCG(c.Seed, 0x6e6f6465)),
+		balancer:     decide.New(c.Settings, c.Seed, clock.Now()),
+		events:       make(chan any, 256),
+		pending:      map[uint64]*pending{},
+		peers:        map[string]*peer{},
+		started:      map[string]time.Duration{},
+		longList:     longList,
+		view:         endpoints.New(endpoints.Settings{}),
+		signs:        endpoints.NewSigns(c.Settings.Nodes, c.Seed),
+		confirmation: endpoints.NewConfirmation(clock.Now()),
+		asking:       endpoints.NewAsking(c.Settings.Nodes, 0),
+		draw:         rand.New(rand.NewPCG(c.Seed, 0x6e6f6465)),
 	}
 }
 
@@ -250,6 +251,7 @@
 		if was := l.discovery.Address(); e.discovery != was {
 			l.log.Info("discovery moves", "from", was, "to", e.discovery)
 			l.discovery.Move(e.discovery)
+			l.moved()
 			if l.past != nil {
 				l.past.address = e.discovery
 			}
@@ -260,10 +262,9 @@
 		for _, p := range l.pending { // in any order: nothing follows from one to the next
 			l.expire(p)
 		}
-	case listed:
+	case discovery.Update:
 		if e.List == nil {
-			l.signs.Answered(l.now, false)
-			l.carryOut(l.balancer.Members(l.now, decide.Members{Change: decide.ListFailed}, l.actions[:0]))
+			l.unlisted(e.Failure)
 		} else {
 			l.listed(e.List)
 		}
--- a/internal/servers/endpoints/asking.go
+++ b/internal/servers/endpoints/asking.go
@@ -19,8 +19,8 @@
 	mostSpread  = 2 * time.Second
 
 	// A node with a list asks for its changes later than one that has none, as each of these.
-	firstANode = 10 * time.Millisecond
-	mostFirst  = 3 * time.Second
+	firstANode = 30 * time.Millisecond
+	mostFirst  = 5 * time.Second
 	// A call that was given up in discovery's queue cost discovery its work all the same: the next waits longer, up to
 	// what a fleet of this size may have to wait. In a small one a network that swallows calls is found sooner.
 	patienceTimes = 2
--- /dev/null
+++ b/internal/servers/endpoints/confirm.go
@@ -0,0 +1,60 @@
+package endpoints
+
+import "time"
+
+// How long a change that a node has not received may still be held not to count as told to it (STANDING, PROTOCOL).
+const (
+	// toldAfterFailure holds after any call that failed, was refused or given up.
+	toldAfterFailure = 6 * time.Second
+	// toldAfterWait holds for a long poll that fell silent, from the end of its wait.
+	toldAfterWait = 2 * time.Second
+	// toldAfterMove holds once discovery has moved to another address.
+	toldAfterMove = 4 * time.Second
+	// A call that fails sooner than this may have waited in discovery's queue all the time. One that lasted longer was an
+	// open long poll, on which every change would have come.
+	openAfter = 4 * time.Second
+)
+
+// Reason is why a call to discovery brought no list.
+type Reason int
+
+// The reasons.
+const (
+	Unreachable Reason = iota // no connection, a reset, or an answer that can't be read
+	Overloaded                // an HTTP error: discovery is down, or has more calls than it can work through
+	Silent                    // nothing came in time on a long poll; the next one begins at once
+)
+
+// Failure is a call to discovery that brought no list.
+type Failure struct {
+	Reason Reason
+	Took   time.Duration
+	Wait   time.Duration // how long discovery was asked to wait for a change
+}
+
+// Confirmation tracks until when a node's list is as good as confirmed: no change that the node has not received can count
+// as told to it before.
+type Confirmation struct {
+	heard time.Duration // every change that discovery had by then has been received
+}
+
+// NewConfirmation is for a node that starts now, with the list that it had before.
+func NewConfirmation(now time.Duration) *Confirmation { return &Confirmation{heard: now} }
+
+// Answered takes an answer of discovery.
+func (c *Confirmation) Answered(now time.Duration) { c.heard = now }
+
+// Failed takes a call that failed and returns until when the list is confirmed.
+func (c *Confirmation) Failed(now time.Duration, failure Failure) (until time.Duration) {
+	if failure.Reason == Silent {
+		begun := now - failure.Took
+		return begun + failure.Wait + toldAfterWait
+	}
+	if failure.Took > openAfter {
+		c.heard = now
+	}
+	return c.heard + toldAfterFailure
+}
+
+// Moved takes a move of discovery to another address and returns until when the list is confirmed.
+func (c *Confirmation) Moved(now time.Duration) (until time.Duration) { return now + toldAfterMove }
