--- a/internal/fleet/allowance/dealer.go
+++ b/internal/fleet/allowance/dealer.go
@@ -40,7 +40,7 @@
 
 // Bounds of a dealer's memory.
 const (
-	mostPools   = 4096
+	mostPools   = 8192
 	mostLoans   = 20_000 // of one pool
 	mostHolders = 40_000
 )
--- a/internal/fleet/council/found.go
+++ b/internal/fleet/council/found.go
@@ -18,7 +18,7 @@
 	drawFor   = 10 * time.Second
 	beginFor  = 10 * time.Second
 	foundStep = 300 * time.Millisecond
-	mostAsked = 256 // members that are asked
+	mostAsked = 1024 // members that one step asks, besides those chosen; the next steps ask the others
 )
 
 // founding is one that was begun at this node.
@@ -26,7 +26,9 @@
 	id       uint64
 	names    []string
 	tokens   uint64
-	step     int // 0: asking, 1: numbers are drawn, 2: they begin
+	step     int    // 0: asking, 1: numbers are drawn, 2: they begin
+	reached  string // the member up to which, by name, each has been asked in this round
+	rounds   int    // of asking all members, that are over
 	since    time.Duration
 	next     time.Duration
 	unseated map[string]bool
@@ -126,32 +128,44 @@
 // advance begins the next step.
 func (f *founding) advance(now time.Duration) { f.step, f.since, f.next = f.step+1, now, now }
 
-// foundAsk asks the members whether they know of voters, the chosen ones in any case.
+// foundAsk asks the members whether they know of voters: a part of them in a step, and the chosen ones in each. It is over
+// once all have answered, or all were asked, some time has passed, and those chosen have answered.
 func (c *Council) foundAsk(f *founding, lasted time.Duration) {
-	asked := slices.Sorted(maps.Keys(c.members))
-	if len(asked) > mostAsked {
-		c.rng.Shuffle(len(asked), func(i, k int) { asked[i], asked[k] = asked[k], asked[i] })
-		asked = asked[:mostAsked]
-	}
-	asked = append(asked, f.names...)
-	slices.Sort(asked)
-	asked = slices.Compact(asked)
-	waiting := 0
-	for _, name := range asked {
-		if name != c.set.Name && !f.unseated[name] {
-			waiting++
-			c.send(name, &Message{Kind: Who, Founding: f.id})
-		}
-	}
 	silent := slices.DeleteFunc(slices.Clone(f.names), func(n string) bool { return n == c.set.Name || f.unseated[n] })
+	waiting := c.unanswered(f)
+	for _, name := range c.nextAsked(f, waiting, silent) {
+		c.send(name, &Message{Kind: Who, Founding: f.id})
+	}
 	switch {
-	case waiting == 0 || lasted >= askFor && len(silent) == 0:
+	case len(waiting)+len(silent) == 0 || f.rounds > 0 && lasted >= askFor && len(silent) == 0:
 		f.advance(c.now)
 	case lasted >= drawFor:
 		c.ended(fmt.Errorf("no answer from %s", strings.Join(silent, ", ")))
 	}
 }
 
+// unanswered are the other members that have not said that they know of no voters, by name.
+func (c *Council) unanswered(f *founding) []string {
+	return slices.DeleteFunc(slices.Sorted(maps.Keys(c.members)), func(n string) bool { return n == c.set.Name || f.unseated[n] })
+}
+
+// nextAsked are those whom a step asks: the next of the members that have not answered, and the chosen ones of them.
+func (c *Council) nextAsked(f *founding, waiting, chosen []string) []string {
+	from, found := slices.BinarySearch(waiting, f.reached)
+	if found {
+		from++
+	}
+	next := waiting[from:min(len(waiting), from+mostAsked)]
+	if from+len(next) == len(waiting) {
+		f.reached, f.rounds = "", f.rounds+1
+	} else {
+		f.reached = next[len(next)-1]
+	}
+	next = append(slices.Clone(next), chosen...)
+	slices.Sort(next)
+	return slices.Compact(next)
+}
+
 // foundDraw has all that were chosen draw their numbers.
 func (c *Council) foundDraw(f *founding, lasted time.Duration) {
 	var silent []string
--- a/internal/fleet/membership/join.go
+++ b/internal/fleet/membership/join.go
@@ -38,7 +38,7 @@
 	if n.now < s.held {
 		return
 	}
-	mine := slices.Index(n.set.Seeds, n.self.Addr)
+	mine := slices.Index(n.set.founders(), n.self.Addr)
 	low := s.low(n, mine)
 	if mine >= 0 && s.found(n, mine, low) {
 		return
@@ -46,14 +46,7 @@
 	if n.now < s.at {
 		return
 	}
-	to := make([]netip.AddrPort, 0, 10)
-	for i, at := range n.set.Seeds {
-		if i != mine {
-			to = append(to, at)
-		}
-	}
-	n.rng.Shuffle(len(to), func(i, j int) { to[i], to[j] = to[j], to[i] })
-	to = to[:min(len(to), 8)]
+	to := s.ask(n, mine >= 0)
 	for range min(2, len(s.known)) {
 		if at := s.known[n.rng.IntN(len(s.known))]; at != n.self.Addr && !slices.Contains(to, at) {
 			to = append(to, at)
@@ -68,9 +61,39 @@
 	s.at = n.now + time.Duration((0.75+n.rng.Float64()/2)*float64(s.every))
 }
 
-// low is the first of the seeds, from 1, that this one hears to be without a view; itself if it is one.
+// ask draws which seeds this attempt asks. The founders ask each other, or they would not hear each other within the time
+// that a word counts; where there are further seeds, they ask one of those too, and the others ask as many of both.
+func (s *seeking) ask(n *Node, founder bool) []netip.AddrPort {
+	first, rest := n.set.founders(), n.set.Seeds[len(n.set.founders()):]
+	fromRest := min(mostAsked/2, len(rest))
+	if founder {
+		fromRest = min(1, len(rest))
+	}
+	to := n.someSeeds(nil, first, mostAsked-fromRest)
+	return n.someSeeds(to, rest, fromRest)
+}
+
+// someSeeds appends up to most of the seeds, drawn, without this node.
+func (n *Node) someSeeds(to, seeds []netip.AddrPort, most int) []netip.AddrPort {
+	for _, i := range n.rng.Perm(len(seeds)) {
+		if most == 0 {
+			break
+		}
+		if seeds[i] != n.self.Addr {
+			to = append(to, seeds[i])
+			most--
+		}
+	}
+	return to
+}
+
+// founders are the seeds that found the fleet. They are few however long the list is: each must hear a majority of them
+// within seedHeard.
+func (s *Settings) founders() []netip.AddrPort { return s.Seeds[:min(len(s.Seeds), mostFounders)] }
+
+// low is the first of the founders, from 1, that this one hears to be without a view; itself if it is one.
 func (s *seeking) low(n *Node, mine int) uint32 {
-	for i := range n.set.Seeds {
+	for i := range n.set.founders() {
 		if i == mine {
 			return uint32(i) + 1
 		}
@@ -81,7 +104,7 @@
 	return 0
 }
 
-// found founds the fleet: where a majority of the seeds, for a while, hear each other without a view, and hold this
+// found founds the fleet: where a majority of the founders, for a while, hear each other without a view, and hold this
 // one for the first.
 func (s *seeking) found(n *Node, mine int, low uint32) bool {
 	agree := 1
@@ -90,7 +113,7 @@
 			agree++
 		}
 	}
-	if low != uint32(mine)+1 || agree < len(n.set.Seeds)/2+1 || n.now-n.started < foundAfter || s.met > 0 && n.now-s.met < 2*joinMost {
+	if low != uint32(mine)+1 || agree < len(n.set.founders())/2+1 || n.now-n.started < foundAfter || s.met > 0 && n.now-s.met < 2*joinMost {
 		s.steady = 0
 		return false
 	}
@@ -126,7 +149,7 @@
 		return
 	}
 	if n.view == nil {
-		if i := slices.Index(n.set.Seeds, who.Addr); i >= 0 && n.phase == Seeking {
+		if i := slices.Index(n.set.founders(), who.Addr); i >= 0 && n.phase == Seeking {
 			n.seek.heard[i] = seedWord{n.now, m.Low}
 			n.seek.number = max(n.seek.number, m.Number)
 		}
@@ -363,7 +386,7 @@
 }
 
 // mostRemoved is how many such names a node remembers.
-const mostRemoved = 1024
+const mostRemoved = 8192
 
 // remember books who was taken out. A name that is taken out again and again waits longer each time, so that a node
 // that half of the others can't use does not come and go.
@@ -416,7 +439,15 @@
 		return
 	}
 	n.seedTurn++
-	at := n.set.Seeds[n.seedTurn%len(n.set.Seeds)]
+	first := n.set.founders()
+	n.lookFor(first[n.seedTurn%len(first)])
+	if rest := n.set.Seeds[len(first):]; len(rest) > 0 {
+		n.lookFor(rest[n.seedTurn%len(rest)])
+	}
+}
+
+// lookFor probes a seed that is not in the view.
+func (n *Node) lookFor(at netip.AddrPort) {
 	if at == n.self.Addr || slices.ContainsFunc(n.view.Members, func(m Member) bool { return m.Addr == at }) {
 		return
 	}
--- a/internal/fleet/membership/settings.go
+++ b/internal/fleet/membership/settings.go
@@ -8,8 +8,8 @@
 
 // Settings are what a node goes by. Zero values become the defaults of Default.
 type Settings struct {
-	Self  Member // Life and Incarnation are drawn
-	Seeds []netip.AddrPort
+	Self  Member           // Life and Incarnation are drawn
+	Seeds []netip.AddrPort // the same at all nodes; the first of them found the fleet
 	// Of an earlier life of this node: nothing, or what it kept.
 	Incarnation uint64           // of that life
 	Number      uint64           // of the last view that it was in
@@ -78,8 +78,10 @@
 // Bounds that hold whatever is set.
 const (
 	mostMembers  = 20_000
+	mostFounders = 16   // seeds, the first of the list, a majority of which founds the fleet
+	mostAsked    = 8    // seeds that one attempt to get in asks; the next asks others
 	mostAdds     = 1024 // in one change
-	mostPending  = 4096 // that want in
+	mostPending  = 8192 // that want in
 	mostInline   = 700  // bytes of a proposal that goes along with votes
 	mostNewsKept = 8192 // items
 	attempts     = 3    // of a round of probes
--- a/internal/fleet/record/record.go
+++ b/internal/fleet/record/record.go
@@ -28,7 +28,7 @@
 	contacts             = 3                      // that are asked at once
 	wantEvery            = 500 * time.Millisecond // while holding
 	slowCall             = time.Second            // a call to discovery that takes longer: others may be quicker
-	mostWanting          = 256                    // nodes that are to be handed a list once there is one
+	mostWanting          = 8192                   // nodes that are to be handed a list once there is one
 	wantingFor           = 3 * time.Second        // how long one's wish is remembered
 	mostHanded           = 32                     // lists handed on a second
 )
--- a/internal/node/discovery/discovery.go
+++ b/internal/node/discovery/discovery.go
@@ -23,7 +23,7 @@
 	wholeWait    = 3 * time.Second
 	agentWhole   = 350 * time.Millisecond // the same of an agent, which answers at once
 	agentPause   = 50 * time.Millisecond  // between two calls of an agent that fail
-	mostListSize = 1 << 20                // some 5000 servers; the smallest node has 32 MB for all it does
+	mostListSize = 4 << 20                // a list of 5400 servers takes 0.9 MB, indented 1.3 MB, with long names 3 MB
 	mostListHead = 64 << 10
 )
 
@@ -205,6 +205,9 @@
 	}
 	defer resp.Body.Close()
 	text, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, mostListSize))
+	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
+		return nil, fmt.Errorf("discovery: the answer of %s to /v1/endpoints%s is larger than %d bytes", s.address, query, tooLarge.Limit)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("discovery: reading the list: %w", err)
 	}
--- a/internal/node/members/carry.go
+++ b/internal/node/members/carry.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	mostLoads = 1024 // messages of others that wait to be sent
+	mostLoads = 8192 // messages of others that wait to be sent
 	mostBook  = 1 << 14
 )
 
--- a/internal/node/members/keep.go
+++ b/internal/node/members/keep.go
@@ -24,7 +24,7 @@
 const (
 	tableSelf = 1
 	rowSelf   = "self"
-	mostKnown = 16
+	mostKnown = 1024 // members; their row takes up to 56 kB of the 64 that a store's row holds
 	keepBytes = 1 << 20
 )
 
--- a/internal/node/members/members.go
+++ b/internal/node/members/members.go
@@ -39,8 +39,8 @@
 const (
 	round       = 100 * time.Millisecond
 	watchers    = 10
-	inbox       = 512 // messages that wait for the goroutine
-	mostStreams = 8   // at once, in each direction
+	inbox       = 8192 // messages that wait for the goroutine: of as many nodes at once
+	mostStreams = 8    // at once, in each direction
 	streamWait  = 3 * time.Second
 )
 
@@ -312,10 +312,16 @@
 	}
 	k := kept{Incarnation: n.Self().Incarnation}
 	if v := n.View(); v != nil {
-		k.Number = v.Number
-		for i := range min(mostKnown, len(v.Members)) {
-			k.Known = append(k.Known, v.Members[i*len(v.Members)/min(mostKnown, len(v.Members))].Addr)
-		}
+		k.Number, k.Known = v.Number, someKnown(v)
 	}
 	m.keep.set(k)
 }
+
+// someKnown are members to remember: all, or of more than are kept as many, from all over the view.
+func someKnown(v *membership.View) []netip.AddrPort {
+	some := make([]netip.AddrPort, min(mostKnown, len(v.Members)))
+	for i := range some {
+		some[i] = v.Members[i*len(v.Members)/len(some)].Addr
+	}
+	return some
+}
--- a/internal/node/members/pool.go
+++ b/internal/node/members/pool.go
@@ -6,8 +6,8 @@
 	"curlewring/internal/fleet/wire"
 )
 
-// mostClaims are claims that wait to be sent.
-const mostClaims = 64
+// mostClaims are claims that wait to be sent: as many nodes may deal, and one claim names a few servers.
+const mostClaims = 8192
 
 // claim is one on its way to a member.
 type claim struct {
--- a/internal/node/ownmembers.go
+++ b/internal/node/ownmembers.go
@@ -8,7 +8,7 @@
 	"curlewring/internal/operators/document"
 )
 
-const mostSeeds, mostVia, mostFleetName = 16, 1000, 64
+const mostSeeds, mostVia, mostFleetName = 6000, 6000, 64
 
 // members reads how a node takes part in the membership of its fleet.
 func (r *ownReader) members(v document.Value, t *document.Table) *members.Settings {
--- a/internal/node/ownmembers_test.go
+++ b/internal/node/ownmembers_test.go
@@ -18,7 +18,7 @@
 		"[members]\nfleet = \"x\"\nlisten = \"here\"\n":                                           `3: members.listen = "here": want an address and a port`,
 		"[members]\nfleet = \"x\"\nlisten = \"0.0.0.0:7946\"\n":                                   `3: members.listen = "0.0.0.0:7946": with no address of its own`,
 		good + "advertise = \"0.0.0.0:7946\"\n":                                                   `4: members.advertise = "0.0.0.0:7946": nobody can send`,
-		good + "seeds = []\n":                                                                     "4: members.seeds = : want a list of 1 to 16",
+		good + "seeds = []\n":                                                                     "4: members.seeds = : want a list of 1 to 6000 addresses",
 		good + "seeds = [\"127.0.0.1:1\", \"127.0.0.1:1\"]\n":                                     `4: members.seeds = "127.0.0.1:1": it stands there twice`,
 		good + "pool = 1\n":                                                                       `4: members.pool = 1: want true or false`,
 		good + "port = 3\n":                                                                       "4: members.port = 3: there are fleet, listen",
--- a/internal/node/record/record.go
+++ b/internal/node/record/record.go
@@ -47,8 +47,8 @@
 
 const (
 	tick      = 50 * time.Millisecond
-	idle      = time.Second // between two looks once there is a list
-	inbox     = 256
+	idle      = time.Second          // between two looks once there is a list
+	inbox     = 8192                 // messages that wait for the goroutine: of as many nodes at once
 	handGap   = 5 * time.Millisecond // between two lists that are sent
 	mostQueue = 64
 	leaseTTL  = 5 * time.Second
--- a/internal/operators/apps/keys.go
+++ b/internal/operators/apps/keys.go
@@ -157,8 +157,11 @@
 	return k
 }
 
+// mostWords is the most of a list of words: the hosts of an application may be all of a fleet.
+const mostWords = 6000
+
 func wordsKey[T any](name string, must bool, doc string, place func(*T) *At[[]string]) key[T] {
-	k := key[T]{name: name, kind: words, least: 1, most: 1000, must: must, doc: doc}
+	k := key[T]{name: name, kind: words, least: 1, most: mostWords, must: must, doc: doc}
 	k.put = func(to *T, r *reading, v document.Value) {
 		at := place(to)
 		*at = At[[]string]{File: r.file, Line: v.Line, Bad: true}
@@ -167,8 +170,8 @@
 			r.find(WrongType, v.Line, name, v.Text, k.kind.String(), "not "+k.kind.String())
 			return
 		}
-		if len(list) == 0 || len(list) > 1000 {
-			r.find(OutOfRange, v.Line, name, v.Text, "1 to 1000 of them", "an empty or too long list")
+		if len(list) == 0 || len(list) > mostWords {
+			r.find(OutOfRange, v.Line, name, v.Text, fmt.Sprintf("1 to %d of them", mostWords), "an empty or too long list")
 			return
 		}
 		var all []string
--- a/internal/operators/document/document.go
+++ b/internal/operators/document/document.go
@@ -16,8 +16,9 @@
 const MostBytes = 1 << 20
 
 // mostKeys is the most keys of one table: the library's own check of them takes a
-// time that grows with the square of their number.
-const mostKeys = 1000
+// time that grows with the square of their number. A table may hold a key for each
+// node of a fleet.
+const mostKeys = 6000
 
 // Value is a value and where it stands. V is a string, int64, float64, bool,
 // []Value, *Table, or Other for what no description uses.
