--- /dev/null
+++ b/internal/node/size_test.go
@@ -0,0 +1,188 @@
+package node
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"curlewring/decide"
+	"curlewring/internal/fleet/membership"
+	fleetrecord "curlewring/internal/fleet/record"
+	"curlewring/internal/fleet/wire"
+	. "curlewring/internal/node/nodetest"
+	"curlewring/internal/servers/endpoints"
+	"curlewring/internal/servers/recall"
+)
+
+// plannedSize is how many nodes and how many servers the operators plan. Each list must hold as many.
+const plannedSize = 5400
+
+// plannedServers are so many servers whose ids have some length. Nothing listens there.
+func plannedServers(idLength int) *endpoints.List {
+	l := &endpoints.List{Generation: 1, Whole: true}
+	for i := range plannedSize {
+		l.Entries = append(l.Entries, endpoints.Entry{
+			Server: decide.Server{
+				ID: fmt.Sprintf("%0*d", idLength, i), Zone: "zone-of-some-length", Cell: i % 60, Weight: 1.25,
+				Started: time.Duration(i) * time.Second, Health: decide.Healthy,
+			},
+			Address: fmt.Sprintf("127.1.%d.%d:1", i/250, i%250+1),
+		})
+	}
+	return l
+}
+
+func plannedAddresses() (all []netip.AddrPort) {
+	for i := range plannedSize {
+		all = append(all, netip.MustParseAddrPort(fmt.Sprintf("10.0.%d.%d:7946", i/250, i%250+1)))
+	}
+	return all
+}
+
+func textOf(t *testing.T, l *endpoints.List) []byte {
+	t.Helper()
+	text, err := l.Text()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+// waitForAll waits until the loop has all servers, and can send to each.
+func (n *testNode) waitForAll(t *testing.T) {
+	t.Helper()
+	WaitFor(t, "the node has all servers", func() bool { return n.peers() == plannedSize })
+	sendable := 0
+	n.loop.step(func(time.Duration) (time.Duration, bool) {
+		sendable = n.loop.sendable
+		return 0, false
+	})(0)
+	if sendable != plannedSize {
+		t.Errorf("%d of %d servers may be sent to", sendable, plannedSize)
+	}
+}
+
+// A configuration's known list holds all servers that are planned.
+func TestPlannedServersInTheConfiguration(t *testing.T) {
+	d := NewDiscoveryServer(t)
+	c := testConfig(t, d.Listener.Addr().String(), string(textOf(t, plannedServers(16))), 1024)
+	startNode(t, c).waitForAll(t)
+}
+
+// Discovery's answer holds them in whatever form it is written, and they reach the view, the loop and the module.
+func TestPlannedServersFromDiscovery(t *testing.T) {
+	for name, x := range map[string]struct {
+		idLength int
+		indent   string
+	}{
+		"plain":                {16, ""},
+		"indented":             {16, "    "},
+		"long names, indented": {253, "    "},
+	} {
+		t.Run(name, func(t *testing.T) {
+			text := textOf(t, plannedServers(x.idLength))
+			if x.indent != "" {
+				var indented bytes.Buffer
+				if err := json.Indent(&indented, text, "", x.indent); err != nil {
+					t.Fatal(err)
+				}
+				text = indented.Bytes()
+			}
+			t.Logf("%d bytes", len(text))
+			d := NewDiscoveryServer(t)
+			n := startNode(t, testConfig(t, d.Listener.Addr().String(), "null", 1024))
+			d.Tell(t, string(text))
+			n.waitForAll(t)
+		})
+	}
+}
+
+// A node's memory holds them over a restart, with the least room that may be set.
+func TestPlannedServersOverARestart(t *testing.T) {
+	all := plannedServers(64)
+	servers := make([]recall.Server, len(all.Entries))
+	for i := range all.Entries {
+		servers[i] = row(&all.Entries[i], time.Time{})
+	}
+	d := NewDiscoveryServer(t)
+	c := testConfig(t, d.Listener.Addr().String(), "null", 1024)
+	c.State = State{Folder: life(t, 0, servers...), MostMB: leastStateMB}
+	startNode(t, c).waitForAll(t)
+}
+
+// A list that a node hands on to another holds them: it goes as one message of a stream.
+func TestPlannedServersHandedOn(t *testing.T) {
+	list := textOf(t, plannedServers(64))
+	body := wire.AppendList(nil, &wire.ListMessage{Message: fleetrecord.Message{
+		Kind: fleetrecord.Here, From: "n0", List: fleetrecord.List{Generation: 1, Discovery: "127.0.0.1:1"}, Body: list,
+	}})
+	const fleet, watchers = 7, 10
+	sent := wire.Append(nil, fleet, &membership.Message{Kind: membership.Carry, Life: 1, Topic: wire.TopicList, Body: body})
+	if len(sent) > wire.MostStream {
+		t.Fatalf("%d bytes, at most %d are read", len(sent), wire.MostStream)
+	}
+	came, err := wire.Parse(sent, fleet, watchers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m, err := wire.ParseList(came.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if l, err := endpoints.Parse(m.Body); err != nil || len(l.Entries) != plannedSize {
+		t.Errorf("%v, %+v", err, l)
+	}
+}
+
+// A view of all nodes that are planned goes as one message of a stream.
+func TestPlannedNodesInAView(t *testing.T) {
+	const fleet, watchers = 7, 10
+	var all []membership.Member
+	for i, at := range plannedAddresses() {
+		all = append(all, membership.Member{
+			Name: fmt.Sprintf("%064d", i), Site: strings.Repeat("s", 64), Addr: at, Life: 1<<63 + uint64(i), Incarnation: 1 << 40,
+		})
+	}
+	v, err := membership.NewView(9, 1, all, watchers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	sent := wire.Append(nil, fleet, &membership.Message{Kind: membership.Gossip, Life: 1, View: v})
+	if len(sent) > wire.MostStream {
+		t.Fatalf("%d bytes, at most %d are read", len(sent), wire.MostStream)
+	}
+	if m, err := wire.Parse(sent, fleet, watchers); err != nil || len(m.View.Members) != plannedSize {
+		t.Errorf("%v, %+v", err, m)
+	}
+}
+
+// A node's own settings hold all nodes that are planned as seeds and as addresses on the way; above the bound the fault
+// names the key, the value and the bound.
+func TestPlannedNodesInOwnSettings(t *testing.T) {
+	settings := func(nodes int) string {
+		var seeds, via strings.Builder
+		for i := range nodes {
+			at := fmt.Sprintf("\"10.0.%d.%d:7946\"", i/250, i%250+1)
+			fmt.Fprintf(&seeds, "%s, ", at)
+			fmt.Fprintf(&via, "%s = %s\n", at, at)
+		}
+		return "[members]\nfleet = \"x\"\nlisten = \":7946\"\nseeds = [" + seeds.String() + "]\n[members.via]\n" + via.String()
+	}
+	own, faults := parseOwn([]byte(settings(plannedSize)))
+	if len(faults) > 0 || len(own.Members.Seeds) != plannedSize || len(own.Members.Via) != plannedSize {
+		t.Errorf("%v, %+v", faults, own.Members)
+	}
+	_, faults = parseOwn([]byte(settings(mostSeeds + 1)))
+	for _, want := range []string{
+		`4: members.seeds = `, fmt.Sprintf("want a list of 1 to %d addresses", mostSeeds), fmt.Sprintf("more than %d keys in one table", mostVia),
+	} {
+		if !slices.ContainsFunc(faults, func(f string) bool { return strings.Contains(f, want) }) {
+			t.Errorf("%d seeds: %q tells nothing of %q", mostSeeds+1, faults, want)
+		}
+	}
+}
