--- /dev/null
+++ b/internal/fleet/council/size_test.go
@@ -0,0 +1,51 @@
+package council
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// A founder asks each member of a large fleet whether it knows of voters before anybody draws a number: the only one that
+// does may be any. A step asks a part of them.
+func TestAFoundingAsksAllMembers(t *testing.T) {
+	const nodes = 5400
+	members := map[string]Member{}
+	for i := range nodes {
+		members[fmt.Sprintf("n%04d", i)] = Member{Site: "a", Addr: "127.0.0.1:1"}
+	}
+	f := newFleet(t, "n0000")
+	c := f.up["n0000"]
+	c.View(f.now, members)
+	chosen := []string{"n0000", "n0001", "n0002"}
+	if err := c.Found(f.now, chosen, 0, 0, func(Seats, error) {}); err != nil {
+		t.Fatal(err)
+	}
+	asked, drawing := map[string]bool{}, false
+	for end := f.now + drawFor; !drawing; f.now += 100 * time.Millisecond {
+		if f.now > end {
+			t.Fatalf("%d of %d members were asked, and no number is drawn within %v", len(asked), nodes-1, drawFor)
+		}
+		c.Tick(f.now)
+		outs, _ := c.Outs()
+		step := 0
+		for _, o := range outs {
+			switch o.Message.Kind {
+			case Who:
+				step++
+				asked[o.To] = true
+				if o.To == chosen[1] || o.To == chosen[2] {
+					c.Receive(f.now, &Message{Kind: Unseated, From: o.To, Founding: o.Message.Founding})
+				}
+			case Offer:
+				drawing = true
+			}
+		}
+		if step > mostAsked+len(chosen) {
+			t.Errorf("a step asks %d members, at most %d", step, mostAsked+len(chosen))
+		}
+	}
+	if len(asked) != nodes-1 {
+		t.Errorf("numbers are drawn after %d of %d members were asked", len(asked), nodes-1)
+	}
+}
