--- a/internal/fleet/allowance/sim_test.go
+++ b/internal/fleet/allowance/sim_test.go
@@ -570,7 +570,7 @@
 func TestDealerForgets(t *testing.T) {
 	d := NewDealer(Settings{})
 	now := time.Hour
-	for i := range 5000 {
+	for i := range mostPools + 1000 {
 		c := &Claim{Holder: uint64(1 + i%500), Seq: uint64(1 + i/500), Stamp: stampOf(now), Items: []Item{{Box: Box{fmt.Sprint("b", i), 1}, Rate: 1, Want: 1}}}
 		if _, ok := d.Claim(now, c); !ok {
 			t.Fatal("not answered")
