--- a/internal/conns/hold/table.go
+++ b/internal/conns/hold/table.go
@@ -86,7 +86,6 @@
 	most   int32 // numbers lie below
 	idle   int
 	fresh  int
-	grade  []float64 // four times the logarithm of each class's worth
 }
 
 // New makes an empty table, whose times count from now. The rules may be nil: then DefaultFor holds for all.
--- a/internal/fleet/agree/voter.go
+++ b/internal/fleet/agree/voter.go
@@ -136,7 +136,6 @@
 	sends   []Message
 	wait    int // ticks until the next election of this voter's
 	ticks   int
-	lead    uint64
 	applied uint64
 	stale   bool // the voters have changed since the last snapshot
 	ready   *raft.Ready
--- a/internal/fleet/council/council.go
+++ b/internal/fleet/council/council.go
@@ -70,7 +70,6 @@
 	note      note
 	noteDirty bool
 	voter     *agree.Voter // nil: this node has no number
-	started   bool         // the voter has begun from what is saved
 	machine   *lease.Machine
 	table     *maintenance.Table
 	seats     Seats // as applied; of use while the voter has a state
--- a/internal/fleet/maintenance/night_test.go
+++ b/internal/fleet/maintenance/night_test.go
@@ -23,7 +23,6 @@
 	storm    time.Duration // when one begins; 0: none does
 	racks    int           // steps in which a whole rack was out
 	peak     map[string]float64
-	crashed  []time.Duration
 	slower   float64 // a machine that comes back carries so much less: a bad new version
 	served   float64
 	asked    float64
--- a/internal/node/front/memory_test.go
+++ b/internal/node/front/memory_test.go
@@ -17,7 +17,6 @@
 	ready  []Event
 	spare  []Event
 	on     bool
-	shut   bool
 	wake   chan struct{}
 	out    chan []Event
 	done   chan struct{}
--- a/internal/node/front/scale_test.go
+++ b/internal/node/front/scale_test.go
@@ -48,8 +48,6 @@
 	net    *memory
 	server *Server
 	worker *worker.Worker
-	heard  []chan struct{} // by active client
-	base   int32           // the first active client
 	stop   func()
 }
 
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -103,7 +103,6 @@
 	file File
 	left []place
 	rows int
-	size int
 }
 
 // Open reads what there is. It writes nothing: the first Commit begins a generation
