--- a/internal/node/members/carry.go
+++ b/internal/node/members/carry.go
@@ -23,7 +23,7 @@
 // does not wait, and it may be lost: what does not fit is, as on the way. False tells that it did not fit.
 func (m *Members) Carry(to string, at netip.AddrPort, topic uint32, body []byte) bool {
 	select {
-	case m.loads <- load{to, at, topic, body}:
+	case m.loads <- &load{to, at, topic, body}:
 		return true
 	default:
 		m.counts.Dropped.Add(1)
--- a/internal/node/members/members.go
+++ b/internal/node/members/members.go
@@ -61,9 +61,9 @@
 	streams chan struct{} // a place for each that goes out
 	view    atomic.Pointer[membership.View]
 	dealer  *allowance.Dealer                     // Run's
-	claims  chan claim                            // to be sent
+	claims  chan *claim                           // to be sent
 	granted func(from uint64, g *allowance.Grant) // nil: nobody waits for grants
-	loads   chan load                             // to be sent, for others that use the sockets
+	loads   chan *load                            // to be sent, for others that use the sockets
 	takers  map[uint32]func(body []byte)          // of carried messages, by topic
 	book    map[string]netip.AddrPort             // Run's: where each name was last, as views said
 	beat    atomic.Int64                          // when Run last ticked
@@ -84,8 +84,8 @@
 		set: set, fleet: wire.Fleet(set.Fleet), log: log, clock: c,
 		in: make(chan *membership.Message, inbox), calls: make(chan func(*membership.Node, time.Duration)),
 		ended: make(chan struct{}), streams: make(chan struct{}, mostStreams),
-		dealer: allowance.NewDealer(allowance.Settings{Window: set.Window}), claims: make(chan claim, mostClaims),
-		loads: make(chan load, mostLoads), takers: map[uint32]func([]byte){}, book: map[string]netip.AddrPort{},
+		dealer: allowance.NewDealer(allowance.Settings{Window: set.Window}), claims: make(chan *claim, mostClaims),
+		loads: make(chan *load, mostLoads), takers: map[uint32]func([]byte){}, book: map[string]netip.AddrPort{},
 	}
 	m.beat.Store(int64(c.Began())) // it may stand still from its first moment on
 	defer func() {
@@ -179,10 +179,10 @@
 			}
 			n.Receive(m.clock.Now(), x)
 		case c := <-m.claims:
-			m.send(ctx, m.sendClaim(n, &c), &parts)
+			m.send(ctx, m.sendClaim(n, c), &parts)
 			continue
 		case c := <-m.loads:
-			m.send(ctx, m.loaded(n, &c), &parts)
+			m.send(ctx, m.loaded(n, c), &parts)
 			continue
 		case do := <-m.calls:
 			do(n, m.clock.Now())
--- a/internal/node/members/pool.go
+++ b/internal/node/members/pool.go
@@ -18,7 +18,7 @@
 // Claim sends a claim to a member. It does not wait: what does not fit is lost, as on the way.
 func (m *Members) Claim(to uint64, c allowance.Claim) {
 	select {
-	case m.claims <- claim{to, c}:
+	case m.claims <- &claim{to, c}:
 	default:
 		m.counts.Dropped.Add(1)
 	}
