--- a/internal/node/members/members.go
+++ b/internal/node/members/members.go
@@ -39,8 +39,8 @@
 const (
 	round       = 100 * time.Millisecond
 	watchers    = 10
-	inbox       = 512 // messages that wait for the goroutine
-	mostStreams = 8   // at once, in each direction
+	inbox       = 8192 // messages that wait for the goroutine: of as many nodes at once
+	mostStreams = 8    // at once, in each direction
 	streamWait  = 3 * time.Second
 )
 
@@ -61,9 +61,9 @@
 	streams chan struct{} // a place for each that goes out
 	view    atomic.Pointer[membership.View]
 	dealer  *allowance.Dealer                     // Run's
-	claims  chan claim                            // to be sent
+	claims  chan *claim                           // to be sent
 	granted func(from uint64, g *allowance.Grant) // nil: nobody waits for grants
-	loads   chan load                             // to be sent, for others that use the sockets
+	loads   chan *load                            // to be sent, for others that use the sockets
 	takers  map[uint32]func(body []byte)          // of carried messages, by topic
 	book    map[string]netip.AddrPort             // Run's: where each name was last, as views said
 	beat    atomic.Int64                          // when Run last ticked
@@ -84,8 +84,8 @@
 		set: set, fleet: wire.Fleet(set.Fleet), log: log, clock: c,
 		in: make(chan *membership.Message, inbox), calls: make(chan func(*membership.Node, time.Duration)),
 		ended: make(chan struct{}), streams: make(chan struct{}, mostStreams),
-		dealer: allowance.NewDealer(allowance.Settings{Window: set.Window}), claims: make(chan claim, mostClaims),
-		loads: make(chan load, mostLoads), takers: map[uint32]func([]byte){}, book: map[string]netip.AddrPort{},
+		dealer: allowance.NewDealer(allowance.Settings{Window: set.Window}), claims: make(chan *claim, mostClaims),
+		loads: make(chan *load, mostLoads), takers: map[uint32]func([]byte){}, book: map[string]netip.AddrPort{},
 	}
 	m.beat.Store(int64(c.Began())) // it may stand still from its first moment on
 	defer func() {
@@ -179,10 +179,10 @@
 			}
 			n.Receive(m.clock.Now(), x)
 		case c := <-m.claims:
-			m.send(ctx, m.sendClaim(n, &c), &parts)
+			m.send(ctx, m.sendClaim(n, c), &parts)
 			continue
 		case c := <-m.loads:
-			m.send(ctx, m.loaded(n, &c), &parts)
+			m.send(ctx, m.loaded(n, c), &parts)
 			continue
 		case do := <-m.calls:
 			do(n, m.clock.Now())
@@ -312,10 +312,16 @@
 	}
 	k := kept{Incarnation: n.Self().Incarnation}
 	if v := n.View(); v != nil {
-		k.Number = v.Number
-		for i := range min(mostKnown, len(v.Members)) {
-			k.Known = append(k.Known, v.Members[i*len(v.Members)/min(mostKnown, len(v.Members))].Addr)
-		}
+		k.Number, k.Known = v.Number, someKnown(v)
 	}
 	m.keep.set(k)
 }
+
+// someKnown are members to remember: all, or of more than are kept as many, from all over the view.
+func someKnown(v *membership.View) []netip.AddrPort {
+	some := make([]netip.AddrPort, min(mostKnown, len(v.Members)))
+	for i := range some {
+		some[i] = v.Members[i*len(v.Members)/len(some)].Addr
+	}
+	return some
+}
--- a/internal/node/members/pool.go
+++ b/internal/node/members/pool.go
@@ -6,8 +6,8 @@
 	"curlewring/internal/fleet/wire"
 )
 
-// mostClaims are claims that wait to be sent.
-const mostClaims = 64
+// mostClaims are claims that wait to be sent: as many nodes may deal, and one claim names a few servers.
+const mostClaims = 8192
 
 // claim is one on its way to a member.
 type claim struct {
@@ -18,7 +18,7 @@
 // Claim sends a claim to a member. It does not wait: what does not fit is lost, as on the way.
 func (m *Members) Claim(to uint64, c allowance.Claim) {
 	select {
-	case m.claims <- claim{to, c}:
+	case m.claims <- &claim{to, c}:
 	default:
 		m.counts.Dropped.Add(1)
 	}
