--- /dev/null
+++ b/internal/rig/virtual/registry_asker_test.go
@@ -0,0 +1,102 @@
+package virtual
+
+import (
+	"time"
+
+	"curlewring/decide"
+	"curlewring/internal/servers/endpoints"
+)
+
+// failure says how a call to the registry ended without an answer.
+type failure int
+
+const (
+	refusedByStatus failure = iota // the registry answered with an HTTP status, at once or after a wait
+	connectionLost                 // the connection was reset, or none came up
+)
+
+// wallOffset is the time of the wall clock at which a run begins.
+const wallOffset = time.Hour
+
+// asker is the real code of one node that decides when it asks and for how long. It is the one part of the rig that
+// knows the interfaces of packages decide and endpoints.
+type asker struct {
+	balancer *decide.Balancer
+	polls    *endpoints.PollSchedule
+	first    time.Duration // how long a starting node that has a list leaves the turn to others
+	lost     bool          // the last call did not get through
+}
+
+// newAsker starts the code of one node of a tier.
+func newAsker(now time.Duration, place endpoints.Place, askWithin time.Duration, draw float64) *asker {
+	settings := decide.Settings{
+		Node: place.Node, Nodes: place.Nodes, Tier: place.Tier, Tiers: place.Tier + 1,
+		MustAsk: true, AskWithin: askWithin,
+		Classes: []decide.Class{{Aim: time.Second, Deadline: time.Second, Worth: 1}},
+	}
+	first := endpoints.NewAsking(place.Nodes, time.Second).First(true, draw)
+	return &asker{
+		balancer: decide.New(settings, place.Seed, now),
+		polls:    endpoints.NewPollSchedule(place),
+		first:    min(first, askWithin/4),
+	}
+}
+
+// pause is a wait that the module asks for before the next call.
+type pause struct {
+	wait  time.Duration
+	token uint64
+}
+
+// pauseIn finds the pause among actions. The module asks for one whenever it has no watch.
+func pauseIn(actions []decide.Action) pause {
+	for _, action := range actions {
+		if action.Kind == decide.After {
+			return pause{action.Wait, action.Token}
+		}
+	}
+	panic("the module neither watches nor pauses")
+}
+
+// started takes the list of the node's last life, and returns the pause before the first call.
+func (a *asker) started(now time.Duration) pause {
+	return pauseIn(a.balancer.Members(now, decide.Members{Change: decide.ListStored}, nil))
+}
+
+// answered takes an answer, and returns how long to wait before the next call.
+func (a *asker) answered(now time.Duration, whole bool) time.Duration {
+	a.lost = false
+	change := decide.ListDiff
+	if whole {
+		change = decide.ListFull
+	}
+	a.balancer.Members(now, decide.Members{Change: change}, nil)
+	return 0
+}
+
+// failed takes a call that ended without an answer, and returns the pause before the next.
+func (a *asker) failed(now time.Duration, how failure) pause {
+	a.lost = how != refusedByStatus
+	return pauseIn(a.balancer.Members(now, decide.Members{Change: decide.ListFailed}, nil))
+}
+
+// resume takes the end of a pause, and tells whether the node asks now.
+func (a *asker) resume(now time.Duration, token uint64) bool {
+	for _, action := range a.balancer.Timer(now, decide.Timer{Token: token}, nil) {
+		if action.Kind == decide.Watch {
+			return true
+		}
+	}
+	return false
+}
+
+// wait is how long a call that begins now may wait at the registry, and after which time it is given up.
+func (a *asker) wait(now time.Duration) (wait, patience time.Duration) {
+	return a.polls.Wait(wallOffset+now, a.lost)
+}
+
+// gaveUp takes a long poll without an answer in its time. The next call begins at once.
+func (a *asker) gaveUp() { a.lost = true }
+
+// moved takes a new address of the registry, where the next call begins at once.
+func (a *asker) moved() { a.lost = true }
