--- a/internal/rig/virtual/registry_fleet_test.go
+++ b/internal/rig/virtual/registry_fleet_test.go
@@ -1,6 +1,7 @@
 package virtual
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -12,7 +13,7 @@
 
 const (
 	emptyCallLines = 40
-	queueTimeout   = 2 * time.Second
+	usualTimeout   = 2 * time.Second
 	// drainGrace is by how much later than it counts as told a change may come.
 	drainGrace = 500 * time.Millisecond
 )
@@ -33,6 +34,7 @@
 type fleetDay struct {
 	tiers      []int         // nodes in each; the first is the front, and its list alone changes
 	callOfEach time.Duration // in which the registry works through an empty call of each node
+	timeout    time.Duration // of a call in the queue; 0: the usual one
 	overbook   float64
 	others     float64 // share of the capacity that callers outside the fleet ask for
 	askWithin  time.Duration
@@ -80,7 +82,7 @@
 	r := &fleetRun{day: day, rng: rand.New(rand.NewPCG(seed, 0x666c656574)), seed: seed}
 	r.callLines = emptyCallLines
 	r.queue = registry.New(registry.Settings{
-		LinesPerSecond: day.capacity(), CallLines: emptyCallLines, QueueTimeout: queueTimeout, Overbook: day.overbook,
+		LinesPerSecond: day.capacity(), CallLines: emptyCallLines, QueueTimeout: cmp.Or(day.timeout, usualTimeout), Overbook: day.overbook,
 		OtherLinesPerSecond: day.others * day.capacity(),
 	})
 	r.people()
--- a/internal/rig/virtual/registry_node_test.go
+++ b/internal/rig/virtual/registry_node_test.go
@@ -57,7 +57,7 @@
 	heardFirst   time.Duration // the first answer, or poll taken up, since the registry was last back
 	pollEnd      time.Duration // of the watch's present poll
 	silent       bool
-	silentSince  time.Duration
+	excused      time.Duration // what silent calls have missed counts as told no sooner
 	missing      []missed
 	tellings     []telling
 	newestToldAt time.Duration
@@ -195,7 +195,8 @@
 	}
 	n.settle()
 	n.call.swallowed = true
-	n.silent, n.silentSince = n.standing == watching, n.service.now
+	n.silent, n.pollEnd = true, n.call.waitEnd
+	n.excused = max(n.excused, n.service.now+toldAfter, n.pollEnd+toldAfterWait)
 }
 
 // become changes what the node is held to, from now on.
@@ -207,18 +208,23 @@
 // due is when a change counts as told, as things stand. While the registry is down it does so only for what went
 // wrong before.
 func (n *fleetNode) due(made time.Duration) (at time.Duration, ok bool) {
-	s := n.service
+	if n.standing != watching && n.service.outage != up {
+		return 0, false
+	}
+	return max(n.dueByStanding(made), n.excused), true
+}
+
+// dueByStanding is when a change counts as told if no call is silent.
+func (n *fleetNode) dueByStanding(made time.Duration) time.Duration {
 	switch {
 	case n.standing == watching && n.silent:
-		return max(made, n.silentSince+toldAfter, n.pollEnd+toldAfterWait), true
+		return made
 	case n.standing == watching:
-		return max(made+toldAfter, n.pollEnd+toldAfterWait), true
-	case s.outage != up:
-		return 0, false
+		return max(made+toldAfter, n.pollEnd+toldAfterWait)
 	case n.standing == paused:
-		return max(max(made, n.lastAnswer)+n.askWithin, s.back), true
+		return max(max(made, n.lastAnswer)+n.askWithin, n.service.back)
 	default:
-		return max(made, n.started, s.back) + toldAfter, true
+		return max(made, n.started, n.service.back) + toldAfter
 	}
 }
 
--- a/internal/rig/virtual/registry_service_test.go
+++ b/internal/rig/virtual/registry_service_test.go
@@ -99,7 +99,7 @@
 	case resetsAtOnce:
 		s.after(networkDelay, func() { s.fail(c, connectionLost) })
 	case swallowsCalls:
-		c.swallowed = true
+		c.node.swallow()
 	case up:
 		s.admit(c)
 	}
