--- a/internal/rig/virtual/registry_cases_test.go
+++ b/internal/rig/virtual/registry_cases_test.go
@@ -10,7 +10,8 @@
 	const callsPerSecond = 42
 	day := fleetDay{
 		tiers: []int{47, 120, 153}, overbook: usualBook, askWithin: usualWithin,
-		warmUp: 30 * time.Second, length: 32 * time.Second,
+		servers: 100,
+		warmUp:  30 * time.Second, length: 32 * time.Second,
 		outages: []outage{{3200 * time.Millisecond, 11200 * time.Millisecond, failsSlowly}},
 		killed:  []restart{{at: 12760 * time.Millisecond, share: 0.7}},
 	}
