Grow pauses on an overloaded discovery without bound by count; play fleets against its queue

Change: the pause after a call that discovery had no capacity for starts at 1.25 s and doubles up to 48 s (a second for each node of the tier at most); a call turned away at once counts half, as it cost nothing; an answer halves the count.

The virtual fleets play this against the queue of internal/rig/registry.

--- a/decide/api.go
+++ b/decide/api.go
@@ -164,6 +164,7 @@
 	Rate    float64 // answers a second that each server gave each node in the last life, if all shared it; 0: not known
 
 	Overloaded bool          // ListFailed: discovery is reachable, and has more calls than it can work through
+	Took       time.Duration // ListFailed: how long the call took
 	Confirmed  time.Duration // from then on a change that this node lacks may count as told; 0: not told, or never
 }
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -41,19 +41,22 @@
 	holdStep     = 10 * time.Millisecond  // wait before looking again for a server
 	askStep      = 250 * time.Millisecond // first wait before asking for the list again
 	askMost      = 3 * time.Second / 2    // the longest: what discovery has known for 6 s counts as told
-	askOverload  = 12 * time.Second       // the longest after calls that discovery had no capacity for ...
-	askANode     = 100 * time.Millisecond // ... in a large fleet, whose retries would keep it from recovering
-	proofLasts   = 4 * time.Second        // a server may take new work for 2 s after its drain was listed, 6 s before it counts
-	sizeSlack    = 1.0 / 16               // part by which a subset may be larger or smaller than its share
-	startSlack   = 32                     // part of a ring (one in so many) by which its start may be off
-	spread       = 0.63224128846          // multiples of it spread evenly, every 2nd to 16th of them too
-	coldSafety   = 0.5                    // part of the cold budget that is used at all, as chances ...
-	coldPooled   = 0.8                    // ... and as whole sends that the nodes deal among themselves
-	rateMemory   = 5 * time.Second        // how slowly the send rate is followed
-	lateGain     = 0.25                   // weight of the newest response time of a server
-	lateMemory   = 2 * time.Second        // after which a server's slowness is mostly forgotten
-	mostSpare    = 256                    // calls kept to be used again
-	askToken     = 1 << 62                // timer that asks for the list; others carry a request's id
+	askLoaded    = 5 * time.Second / 4    // first wait after a call that discovery had no capacity for, doubled with each ...
+	askQueued    = 300 * time.Millisecond // ... but those that ended sooner, turned away by a full queue at no cost ...
+	askTurned    = 0.5                    // ... of which so many count as one
+	askLongest   = 48 * time.Second
+	askANode     = time.Second     // no pause after such calls is longer than this, times the nodes of the tier
+	proofLasts   = 4 * time.Second // a server may take new work for 2 s after its drain was listed, 6 s before it counts
+	sizeSlack    = 1.0 / 16        // part by which a subset may be larger or smaller than its share
+	startSlack   = 32              // part of a ring (one in so many) by which its start may be off
+	spread       = 0.63224128846   // multiples of it spread evenly, every 2nd to 16th of them too
+	coldSafety   = 0.5             // part of the cold budget that is used at all, as chances ...
+	coldPooled   = 0.8             // ... and as whole sends that the nodes deal among themselves
+	rateMemory   = 5 * time.Second // how slowly the send rate is followed
+	lateGain     = 0.25            // weight of the newest response time of a server
+	lateMemory   = 2 * time.Second // after which a server's slowness is mostly forgotten
+	mostSpare    = 256             // calls kept to be used again
+	askToken     = 1 << 62         // timer that asks for the list; others carry a request's id
 )
 
 // fail counts a failure, and ejects after some in a row, each time for longer.
@@ -121,7 +124,7 @@
 	weight, sums float64 // mean weight of the members, and its sum
 	asking       bool
 	watching     bool
-	askTries     int
+	askTries     float64
 	heard        time.Duration   // when discovery last answered
 	unconfirmed  time.Duration   // from then on drains that this node was not told of may count as told; 0: never
 	longest      []time.Duration // largest TTL seen, by class
@@ -348,22 +351,24 @@
 	return time.Duration((0.5 + b.rng.Float64()/2) * float64(wait))
 }
 
-// follow keeps a watch on a list that comes only when asked for, and asks again with back-off and jitter. After calls that
-// discovery had no capacity for the pause is longer, by the size of the fleet, and one answer does not end that.
+// follow keeps a watch on a list that comes only when asked for, and asks again with back-off and jitter.
 func (b *Balancer) follow(m *Members) {
 	b.asking, b.watching = false, m.Change == ListDiff || m.Change == ListFull
 	if b.watching {
-		b.askTries /= 2
+		b.askTries /= 2 // one answer does not end an overload
 		return
 	}
-	most := askMost
-	if m.Overloaded {
-		b.askTries++ // twice as steep
-		most = min(max(most, time.Duration(b.set.Nodes)*askANode), askOverload)
+	wait := min(askStep<<min(int(b.askTries), 8), askMost, b.set.AskWithin/2)
+	step := 1.0
+	if m.Overloaded { // retries of a whole fleet would keep it from recovering
+		most := min(max(askMost, time.Duration(b.set.Nodes)*askANode), askLongest)
+		wait = min(time.Duration(math.Exp2(min(b.askTries, 8))*float64(askLoaded)), most)
+		if m.Took < askQueued {
+			step = askTurned
+		}
 	}
-	wait := max(holdStep, min(askStep<<min(b.askTries, 8), most, b.set.AskWithin/2))
-	b.askTries = min(b.askTries+1, 8)
-	b.act(Action{Kind: After, Token: askToken, Wait: b.jitter(wait)})
+	b.askTries += step
+	b.act(Action{Kind: After, Token: askToken, Wait: b.jitter(max(holdStep, wait))})
 }
 
 // confirm books until when the list is confirmed.
--- a/internal/rig/virtual/registry_service_test.go
+++ b/internal/rig/virtual/registry_service_test.go
@@ -78,6 +78,7 @@
 // registryCall is a call of one node.
 type registryCall struct {
 	node      *fleetNode
+	begun     time.Duration
 	waitEnd   time.Duration // when the registry ends the poll, whether or not there is news
 	open      bool          // worked through, and waiting for news
 	written   bool          // its answer is on the way
