--- a/cmd/curlewctl/lab.go
+++ b/cmd/curlewctl/lab.go
@@ -36,9 +36,9 @@
 	Idle      int           `help:"So many idle connections beside the traffic, over all nodes."`
 	Wake      time.Duration `help:"Each idle connection asks again so often; 0s: never. Up to 15000 of them do."`
 	StartFrom string        `type:"existingfile" placeholder:"FILE" help:"Nodes remember the list in this file, in discovery's form, beside the boxes."`
-	ListAge   time.Duration `help:"Nodes start on a list so old that they remember, while the Boxliste is out."`
+	ListAge   time.Duration `help:"Nodes start on a list so old that they remember, while discovery is out."`
 	Stale     int           `help:"So many entries of that list are no more: half refuse, a quarter hang, a quarter are others'."`
-	Outage    time.Duration `default:"5s" help:"With --list-age: how long the Boxliste stays out."`
+	Outage    time.Duration `default:"5s" help:"With --list-age: how long discovery stays out."`
 	Cold      bool          `help:"With --list-age: the boxes have just started."`
 	Arm       string        `default:"doubts" enum:"doubts,trusts,waits" help:"With --list-age: what nodes make of the list; trusts and waits are controls."`
 	Members   bool          `help:"Nodes know each other; faults of the links between them: cut, lose, late, twice, damage, and stop, kill."`
--- a/internal/rig/lab/crossing_test.go
+++ b/internal/rig/lab/crossing_test.go
@@ -17,7 +17,7 @@
 	return paced(t, 0, change, faults...)
 }
 
-// paced does so with a Boxliste that sends so many lines a second once all nodes are ready; 0: any number.
+// paced does so with discovery that sends so many lines a second once all nodes are ready; 0: any number.
 func paced(t *testing.T, lines int, change func(o *Options), faults ...string) *Report {
 	t.Helper()
 	o := options()
@@ -35,7 +35,7 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	l.Fleet.Liste.Pace(lines)
+	l.Fleet.Discovery.Pace(lines)
 	r, err := l.Run(context.Background(), nil)
 	if err != nil {
 		t.Fatal(err)
@@ -53,7 +53,7 @@
 	return float64(served) / float64(max(1, asked))
 }
 
-// All watches of all nodes fall silent, and boxes drain right after, while the Boxliste takes three quarters of a second
+// All watches of all nodes fall silent, and boxes drain right after, while discovery takes three quarters of a second
 // for each call: every node has to have noticed and asked anew by the time at which the drains count as told.
 func TestWatchesFallSilentThenBoxesDrain(t *testing.T) {
 	t.Parallel()
--- a/internal/rig/lab/lab.go
+++ b/internal/rig/lab/lab.go
@@ -132,7 +132,7 @@
 		}
 	}
 	if o.Past != nil {
-		l.Fleet.Liste.Out(true)
+		l.Fleet.Discovery.Out(true)
 		if o.Past.Cold {
 			l.Fleet.Chill()
 		}
@@ -171,7 +171,7 @@
 	}
 	s.MemoryMB, s.Sockets = max(32, l.options.MemoryMB), max(64, l.options.Sockets)
 	s.Copies, s.Advice, s.Budgets = l.options.Copies, l.options.Advice, l.options.Budgets
-	if l.lists[s.Name], err = l.Fleet.Discovery(s.Name, s.Tier); err != nil {
+	if l.lists[s.Name], err = l.Fleet.Endpoint(s.Name, s.Tier); err != nil {
 		return nil, fmt.Errorf("node %s: %w", s.Name, err)
 	}
 	if l.options.Past != nil {
@@ -366,7 +366,7 @@
 			case <-time.After(l.options.Past.Out):
 			case <-ctx.Done():
 			}
-			l.Fleet.Liste.Out(false)
+			l.Fleet.Discovery.Out(false)
 		})
 	}
 	parts.Go(func() { faultErrs = l.Fleet.Play(ctx, l.options.Faults, l) })
--- a/internal/rig/lab/large_test.go
+++ b/internal/rig/lab/large_test.go
@@ -18,11 +18,11 @@
 func waitLines(t *testing.T, l *Lab, want int) {
 	t.Helper()
 	for end := time.Now().Add(time.Minute); ; time.Sleep(20 * time.Millisecond) {
-		if _, lines := l.Fleet.Liste.Calls(); lines >= want {
+		if _, lines := l.Fleet.Discovery.Calls(); lines >= want {
 			return
 		}
 		if time.Now().After(end) {
-			_, lines := l.Fleet.Liste.Calls()
+			_, lines := l.Fleet.Discovery.Calls()
 			t.Fatalf("%d lines of %d were told", lines, want)
 		}
 	}
@@ -56,7 +56,7 @@
 		pid := p.cmd.Process.Pid
 		p.mu.Unlock()
 		// A change comes once the whole list has been taken in.
-		_, before := l.Fleet.Liste.Calls()
+		_, before := l.Fleet.Discovery.Calls()
 		l.Fleet.Paper(0, 1, false)
 		waitLines(t, l, before+1)
 		l.Fleet.Paper(0, 1, true)
--- a/internal/rig/lab/lies_test.go
+++ b/internal/rig/lab/lies_test.go
@@ -7,7 +7,7 @@
 	"curlewring/internal/rig/standin"
 )
 
-// A Boxliste that says for a second that there is nothing, and one that comes back from a backup: what it says is
+// Discovery that says for a second that there is nothing, and one that comes back from a backup: what it says is
 // gone gets nothing new, what it brings back waits, and service returns. The judge hears what nodes were told. That doubts of
 // good news hold is package endpoints's own test: a node that believed all at once would pass here too.
 func TestListsThatLie(t *testing.T) {
--- a/internal/rig/lab/past.go
+++ b/internal/rig/lab/past.go
@@ -26,13 +26,13 @@
 	Waits             // control: it has none
 )
 
-// Past is what nodes remember at their start, while the Boxliste is out.
+// Past is what nodes remember at their start, while discovery is out.
 type Past struct {
 	Arm   Arm
 	Age   time.Duration   // of the list
 	Stale int             // entries beside the boxes: half refuse, a quarter hang, at the others something else answers
 	More  *endpoints.List // further entries; nil: none
-	Out   time.Duration   // how long the Boxliste stays out
+	Out   time.Duration   // how long discovery stays out
 	Cold  bool            // the boxes have just started
 }
 
@@ -140,7 +140,7 @@
 }
 
 const (
-	// foreignGeneration is above all that the stand-in's Boxliste counts: it answers with its whole list.
+	// foreignGeneration is above all that the stand-in's discovery counts: it answers with its whole list.
 	foreignGeneration = 1 << 30
 	mostStale         = 400
 	mostAge           = 10 * 365 * 24 * time.Hour
--- a/internal/rig/lab/record_test.go
+++ b/internal/rig/lab/record_test.go
@@ -8,7 +8,7 @@
 	"curlewring/internal/rig/standin"
 )
 
-// Nodes that all start at once without any list, at a Boxliste that takes seconds for each whole one: they have a list from
+// Nodes that all start at once without any list, at a discovery service that takes seconds for each whole one: they have a list from
 // the first that was told, and serve. Without that each waits for its turn. A box that drains meanwhile gets nothing new
 // from a node that was told itself; the judge looks.
 func TestNodesHandTheirListOn(t *testing.T) {
@@ -30,8 +30,8 @@
 		for _, n := range x.names {
 			x.do(x.Kill(n))
 		}
-		x.Fleet.Liste.Pace(lines)
-		_, before := x.Fleet.Liste.Calls()
+		x.Fleet.Discovery.Pace(lines)
+		_, before := x.Fleet.Discovery.Calls()
 		begun := time.Now()
 		for _, n := range x.names {
 			x.do(x.StartBare(n))
@@ -47,8 +47,8 @@
 			}
 			took[record] = time.Since(begun)
 		}
-		_, after := x.Fleet.Liste.Calls()
-		t.Logf("handed on %v: the last of %d nodes serves after %v, by %d lines of the Boxliste so far", record, nodes, took[record], after-before)
+		_, after := x.Fleet.Discovery.Calls()
+		t.Logf("handed on %v: the last of %d nodes serves after %v, by %d lines of discovery so far", record, nodes, took[record], after-before)
 		if t.Failed() || record && took[record] > 20*time.Second {
 			for _, n := range x.names {
 				t.Logf("%s: %.9000s", n, x.Log(n))
--- a/internal/rig/lab/report.go
+++ b/internal/rig/lab/report.go
@@ -24,7 +24,7 @@
 	Breaches    []judge.Breach     `json:"breaches"`
 	Excused     int                `json:"excused_by_machine_delay"`
 	WorstLag    float64            `json:"worst_machine_delay_ms"`
-	ListCalls   int                `json:"boxliste_calls"`
+	ListCalls   int                `json:"discovery_calls"`
 	Connections int                `json:"connections_to_nodes"`
 	Idle        *IdleRow           `json:"idle,omitempty"`
 }
@@ -93,7 +93,7 @@
 	for _, b := range append(append([]*standin.Box{}, l.Fleet.Boxes...), l.Fleet.Lower...) {
 		r.Boxes = append(r.Boxes, b.State())
 	}
-	r.ListCalls, _ = l.Fleet.Liste.Calls()
+	r.ListCalls, _ = l.Fleet.Discovery.Calls()
 	for _, c := range l.clients {
 		r.Connections += c.Opened()
 	}
@@ -132,7 +132,7 @@
 		peak = max(peak, n.PeakMB)
 	}
 	fmt.Fprintf(w, "nodes               %.0f us of CPU a request, %.2f cores in all, %.1f MB at the peak of one\n", r.CPU, r.Cores, peak)
-	fmt.Fprintf(w, "connections         %d from callers; the Boxliste answered %d calls\n", r.Connections, r.ListCalls)
+	fmt.Fprintf(w, "connections         %d from callers; discovery answered %d calls\n", r.Connections, r.ListCalls)
 	if i := r.Idle; i != nil {
 		fmt.Fprintf(w, "idle connections    %d, %.0f resident bytes each (%.1f to %.1f MB); %.4f cores when all is quiet\n", i.Held, i.Bytes,
 			i.BeforeMB, i.AfterMB, i.QuietCores)
--- /dev/null
+++ b/internal/rig/standin/discovery.go
@@ -0,0 +1,261 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"curlewring/internal/rig/standin/judge"
+)
+
+// entry is a box as discovery lists it, in the protocol's form.
+type entry struct {
+	ID        string  `json:"instanceId"`
+	HostPort  string  `json:"hostPort"`
+	Zone      string  `json:"zone"`
+	Kind      string  `json:"machineType"`
+	Cell      int     `json:"cell"`
+	Lifecycle string  `json:"lifecycle"`
+	Weight    float64 `json:"weight"`
+	StartedMs int64   `json:"startedAtMs"`
+}
+
+func (e *entry) state() judge.State {
+	switch e.Lifecycle {
+	case "DRAINING":
+		return judge.Draining
+	case "DELETED":
+		return judge.Gone
+	}
+	return judge.Serving
+}
+
+// change is one version of the list.
+type change struct {
+	entry
+	visible time.Duration // from when answers hold it
+}
+
+// Discovery is the discovery service of one tier: it answers calls for the whole list, and long polls that wait for
+// changes. It publishes each change some time after it happened, sends no more than so many lines a second to all nodes
+// together, and may be down for a while.
+type Discovery struct {
+	clock Clock
+	judge *judge.Judge
+
+	mu             sync.Mutex
+	changes        []change      // version n is changes[n-1]
+	publishDelay   time.Duration // from a change to its publication
+	linesPerSecond int           // 0: any number
+	busyUntil      time.Duration
+	down           bool
+	empty          bool          // answers hold no server
+	backupAt       time.Duration // answers are those of this time; 0: of now
+	falsehoods     int           // raised with each false list that begins or ends, so that open long polls are answered
+	changed        chan struct{} // closed and replaced with every change of any kind
+	endpoints      []*discoveryEndpoint
+	calls          int
+	lines          int
+	unreachable    []interval    // when it was down, or its answers were false
+	faultySince    time.Duration // 0: it is neither down nor false
+	pushed         bool          // each endpoint is an agent beside its node: what it has counts as delivered at once
+	silences       int           // raised each time that the open long polls fall silent
+}
+
+// NewDiscovery returns a service with an empty list.
+func NewDiscovery(clock Clock, j *judge.Judge, publishDelay time.Duration, linesPerSecond int) *Discovery {
+	return &Discovery{
+		clock: clock, judge: j, publishDelay: publishDelay, linesPerSecond: linesPerSecond, changed: make(chan struct{}),
+	}
+}
+
+// newDiscovery returns a service with an empty list, as a plan has it.
+func newDiscovery(clock Clock, j *judge.Judge, p *Plan) *Discovery {
+	d := NewDiscovery(clock, j, p.Notice, p.LinesASecond)
+	if p.Pushed {
+		d.pushed, d.linesPerSecond = true, 0
+	}
+	return d
+}
+
+// Endpoint opens an address for one node.
+func (d *Discovery) Endpoint(node, host string) (string, error) {
+	listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
+	if err != nil {
+		return "", fmt.Errorf("discovery: %w", err)
+	}
+	e := &discoveryEndpoint{discovery: d, node: node, ended: make(chan struct{})}
+	e.server = &http.Server{Handler: e, ErrorLog: log.New(io.Discard, "", 0)}
+	d.mu.Lock()
+	d.endpoints = append(d.endpoints, e)
+	d.mu.Unlock()
+	go func() { // ends with Close
+		defer close(e.ended)
+		e.server.Serve(listener)
+	}()
+	return listener.Addr().String(), nil
+}
+
+// Close ends all endpoints.
+func (d *Discovery) Close() {
+	d.mu.Lock()
+	endpoints := d.endpoints
+	d.endpoints = nil
+	d.mu.Unlock()
+	for _, e := range endpoints {
+		e.server.Close()
+		<-e.ended
+	}
+}
+
+// Put publishes a box's state after the usual delay, or at once.
+func (d *Discovery) Put(e entry, atOnce bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	at := d.clock.Now()
+	if !atOnce {
+		at += d.publishDelay
+	}
+	if n := len(d.changes); n > 0 {
+		at = max(at, d.changes[n-1].visible) // in order
+	}
+	d.changes = append(d.changes, change{e, at})
+	d.wake()
+}
+
+// wake has all open long polls look again; d.mu is held.
+func (d *Discovery) wake() {
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// Lag changes how long after it happened a change is published.
+func (d *Discovery) Lag(publishDelay time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.publishDelay = publishDelay
+}
+
+// Out puts discovery out of order, or ends that. Open long polls end with it.
+func (d *Discovery) Out(on bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.down = on
+	d.noteFault(on)
+	d.wake()
+}
+
+// Swallow has all open long polls fall silent, as a network may: their connections stay, and nothing comes any more.
+func (d *Discovery) Swallow() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.silences++
+	d.wake()
+}
+
+// Empty has discovery answer that there is no box, as a whole list and of no generation's own, or ends that.
+func (d *Discovery) Empty(on bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.empty = on
+	d.noteFault(on)
+	d.falsehoods++
+	d.wake()
+}
+
+// Back has discovery go on from a backup of that age: its generations run backwards, and its answers hold what was true
+// then. 0 ends that.
+func (d *Discovery) Back(age time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.backupAt = 0
+	if age > 0 {
+		d.backupAt = max(1, d.clock.Now()-age)
+	}
+	d.noteFault(age > 0)
+	d.falsehoods++
+	d.wake()
+}
+
+// Pace sets how many lines a second it can send from now on; 0: any number.
+func (d *Discovery) Pace(linesPerSecond int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.linesPerSecond = linesPerSecond
+}
+
+// Calls is how many calls and list lines it has answered.
+func (d *Discovery) Calls() (calls, lines int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.calls, d.lines
+}
+
+// version is the newest published one, and how long until the next is; d.mu is held.
+func (d *Discovery) version(now time.Duration) (int, time.Duration) {
+	if d.backupAt > 0 {
+		now = d.backupAt
+	}
+	n := len(d.changes)
+	for n > 0 && d.changes[n-1].visible > now {
+		n--
+	}
+	if n < len(d.changes) {
+		return n, d.changes[n].visible - now
+	}
+	return n, time.Hour
+}
+
+// upTo lists the newest entry of each box among versions (after, n]; d.mu is held.
+func (d *Discovery) upTo(after, n int) []entry {
+	var entries []entry
+	at := map[string]int{}
+	for _, c := range d.changes[after:n] {
+		if i, ok := at[c.ID]; ok {
+			entries[i] = c.entry
+			continue
+		}
+		at[c.ID] = len(entries)
+		entries = append(entries, c.entry)
+	}
+	return entries
+}
+
+// missing lists the boxes that a whole list of version n leaves out; d.mu is held.
+func (d *Discovery) missing(n int, entries []entry) []string {
+	named := map[string]bool{}
+	for i := range entries {
+		named[entries[i].ID] = true
+	}
+	var gone []string
+	for _, c := range d.changes[:n] {
+		if !named[c.ID] {
+			named[c.ID] = true
+			gone = append(gone, c.ID)
+		}
+	}
+	return gone
+}
+
+// known is the whole list as of now, as a node keeps it from its last life.
+func (d *Discovery) known() json.RawMessage {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n, _ := d.version(d.clock.Now())
+	list := listAnswer{Generation: n, Whole: true, Instances: withoutDeleted(d.upTo(0, n))}
+	text, err := list.encode()
+	if err != nil {
+		return nil
+	}
+	return text
+}
+
+func withoutDeleted(entries []entry) []entry {
+	return slices.DeleteFunc(entries, func(e entry) bool { return e.Lifecycle == "DELETED" })
+}
--- a/internal/rig/standin/fault.go
+++ b/internal/rig/standin/fault.go
@@ -27,7 +27,7 @@
 	return map[string]string{
 		"slow": "boxes", "stuck": "boxes", "reset": "boxes", "refuse": "boxes", "silent": "boxes", "crash": "boxes",
 		"drain": "boxes", "leave": "boxes", "garble": "boxes", "error": "boxes", "turnaway": "boxes",
-		"lag": "liste", "outage": "liste", "empty": "liste", "backup": "liste", "blackhole": "liste",
+		"lag": "discovery", "outage": "discovery", "empty": "discovery", "backup": "discovery", "blackhole": "discovery",
 		"kill": "node", "stop": "node", "term": "node",
 		"cut": "links", "lose": "links", "late": "links", "twice": "links", "damage": "links",
 	}
@@ -200,19 +200,19 @@
 func (f *Fleet) begin(x *Fault, nodes Nodes) error {
 	switch x.Kind {
 	case "lag":
-		f.Liste.Lag(f.Plan.Notice + time.Duration(x.By*float64(time.Second)))
+		f.Discovery.Lag(f.Plan.Notice + time.Duration(x.By*float64(time.Second)))
 		return nil
 	case "outage":
-		f.Liste.Out(true)
+		f.Discovery.Out(true)
 		return nil
 	case "empty":
-		f.Liste.Empty(true)
+		f.Discovery.Empty(true)
 		return nil
 	case "backup":
-		f.Liste.Back(time.Duration(x.By * float64(time.Second)))
+		f.Discovery.Back(time.Duration(x.By * float64(time.Second)))
 		return nil
 	case "blackhole":
-		f.Liste.Swallow()
+		f.Discovery.Swallow()
 		return nil
 	case "kill":
 		return nodes.Kill(x.Node)
@@ -249,12 +249,12 @@
 		case "crash":
 			b.set(down, 1)
 			b.close()
-			f.tell(b, "DELETED", false)
+			f.publish(b, "DELETED", false)
 		case "drain":
-			f.tell(b, "DRAINING", false)
+			f.publish(b, "DRAINING", false)
 			b.drain(true)
 		case "leave": // it is announced as leaving, and serves on: nothing but the list tells
-			f.tell(b, "DRAINING", false)
+			f.publish(b, "DRAINING", false)
 		}
 	}
 	return nil
@@ -264,16 +264,16 @@
 func (f *Fleet) end(x *Fault, nodes Nodes) error {
 	switch x.Kind {
 	case "lag":
-		f.Liste.Lag(f.Plan.Notice)
+		f.Discovery.Lag(f.Plan.Notice)
 		return nil
 	case "outage":
-		f.Liste.Out(false)
+		f.Discovery.Out(false)
 		return nil
 	case "empty":
-		f.Liste.Empty(false)
+		f.Discovery.Empty(false)
 		return nil
 	case "backup":
-		f.Liste.Back(0)
+		f.Discovery.Back(0)
 		return nil
 	case "blackhole": // what was swallowed stays so
 		return nil
@@ -295,12 +295,12 @@
 			err = b.listen("")
 		case "crash":
 			err = b.restart()
-			f.tell(b, "SERVING", false)
+			f.publish(b, "SERVING", false)
 		case "drain", "leave": // a new process takes the place of the drained one
-			f.tell(b, "DELETED", true)
+			f.publish(b, "DELETED", true)
 			b.close()
 			err = b.restart()
-			f.tell(b, "SERVING", false)
+			f.publish(b, "SERVING", false)
 		default:
 			b.set(healthy, 1)
 		}
--- a/internal/rig/standin/fleet.go
+++ b/internal/rig/standin/fleet.go
@@ -10,15 +10,16 @@
 	"curlewring/internal/rig/standin/judge"
 )
 
-// Fleet is boxes and a Boxliste for each tier, with a judge.
+// Fleet is boxes and a discovery service for each tier, with a judge.
 type Fleet struct {
 	Plan  Plan
 	Clock Clock
 	Judge *judge.Judge
 	Boxes []*Box // of the first tier
 	Lower []*Box // of the tiers below, in their order
-	Liste *Liste // of the first tier
-	below []*Liste
+	// Discovery is that of the first tier.
+	Discovery *Discovery
+	below     []*Discovery
 
 	host  atomic.Int64 // the next loopback address
 	beat  *beat
@@ -30,17 +31,15 @@
 	clock := NewClock()
 	f := &Fleet{Plan: plan, Clock: clock, Judge: judge.New(plan.Rules())}
 	f.beat, f.trees = startBeat(clock, f.Judge), newTrees()
-	f.Liste = newListe(clock, f.Judge, &plan)
+	f.Discovery = newDiscovery(clock, f.Judge, &plan)
 	racks := map[judge.Place]*rack{}
 	for tier := range max(1, plan.Tiers) {
-		liste := f.Liste
 		if tier > 0 {
-			liste = newListe(clock, f.Judge, &plan)
-			f.below = append(f.below, liste)
+			f.below = append(f.below, newDiscovery(clock, f.Judge, &plan))
 		}
 		for i := range plan.Boxes {
 			site := plan.Sites[i%len(plan.Sites)]
-			// A rack's number is its own in the whole fleet: a cell of the Boxliste is a number alone.
+			// A rack's number is its own in the whole fleet: a cell of the list is a number alone.
 			column := i / len(plan.Sites) / max(1, plan.RackSize)
 			place := judge.Place{Site: site, Rack: (tier*len(plan.Sites)+i%len(plan.Sites))*1000 + column}
 			if racks[place] == nil {
@@ -62,7 +61,7 @@
 			} else {
 				f.Lower = append(f.Lower, b)
 			}
-			f.tell(b, "SERVING", true)
+			f.publish(b, "SERVING", true)
 		}
 	}
 	return f, nil
@@ -104,36 +103,36 @@
 			b.below.Close()
 		}
 	}
-	f.Liste.Close()
-	for _, l := range f.below {
-		l.Close()
+	f.Discovery.Close()
+	for _, d := range f.below {
+		d.Close()
 	}
 	f.beat.stop()
 }
 
-// lists is the Boxliste of a tier.
-func (f *Fleet) lists(tier int) *Liste {
+// discoveryOf is the discovery service of a tier.
+func (f *Fleet) discoveryOf(tier int) *Discovery {
 	if tier == 0 {
-		return f.Liste
+		return f.Discovery
 	}
 	return f.below[tier-1]
 }
 
-// Settle tells the judge what counts as told at the end of a run, whether or not it was.
+// Settle reports to the judge, at the end of a run, what counts as delivered whether or not it was.
 func (f *Fleet) Settle() {
-	f.Liste.Settle()
-	for _, l := range f.below {
-		l.Settle()
+	f.Discovery.Settle()
+	for _, d := range f.below {
+		d.Settle()
 	}
 }
 
-// tell puts a box's state on the Boxliste of its tier.
-func (f *Fleet) tell(b *Box, lifecycle string, atOnce bool) {
+// publish puts a box's state on the list of its tier.
+func (f *Fleet) publish(b *Box, lifecycle string, atOnce bool) {
 	started := int64(0)
 	if b.started > 0 {
 		started = f.Clock.Unix(b.started)
 	}
-	f.lists(b.Tier).Put(entry{
+	f.discoveryOf(b.Tier).Put(entry{
 		ID: b.ID, HostPort: b.Address, Zone: b.Site, Kind: "stand-in", Cell: b.Rack, Lifecycle: lifecycle, Weight: 1,
 		StartedMs: started,
 	}, atOnce)
@@ -146,11 +145,11 @@
 		b.mu.Lock()
 		b.started = now
 		b.mu.Unlock()
-		f.tell(b, "SERVING", true)
+		f.publish(b, "SERVING", true)
 	}
 }
 
-// Paper puts boxes on the first tier's Boxliste that are on paper only: number
+// Paper puts boxes on the first tier's list that are on paper only: number
 // from up to to, all gone or all serving. Nobody listens at their addresses, so a
 // fleet with traffic is no place for them: they show what a long list costs.
 func (f *Fleet) Paper(from, to int, serving bool) {
@@ -159,7 +158,7 @@
 		lifecycle = "DELETED"
 	}
 	for i := from; i < to; i++ {
-		f.Liste.Put(entry{
+		f.Discovery.Put(entry{
 			ID: fmt.Sprintf("paper-%06d", i), HostPort: fmt.Sprintf("127.%d.%d.%d:9", 200+i>>16&15, i>>8&255, i&255),
 			Zone: f.Plan.Sites[i%len(f.Plan.Sites)], Kind: "paper", Cell: 1000000 + i/4, Lifecycle: lifecycle, Weight: 1,
 		}, true)
@@ -183,9 +182,9 @@
 	List     json.RawMessage // the list that it knows, in the place of that of now; nil: Known says
 }
 
-// Discovery opens an address of a tier's Boxliste for a node.
-func (f *Fleet) Discovery(node string, tier int) (string, error) {
-	return f.lists(tier).Front(node, f.Host())
+// Endpoint opens an address of a tier's discovery service for a node.
+func (f *Fleet) Endpoint(node string, tier int) (string, error) {
+	return f.discoveryOf(tier).Endpoint(node, f.Host())
 }
 
 // Config writes the configuration of a node, as the platform would.
@@ -231,7 +230,7 @@
 	if s.List != nil {
 		config["known"] = s.List
 	} else if s.Known {
-		config["known"] = f.lists(s.Tier).known()
+		config["known"] = f.discoveryOf(s.Tier).known()
 	}
 	text, err := json.MarshalIndent(config, "", "  ")
 	if err != nil {
--- a/internal/rig/standin/judge/doc.go
+++ b/internal/rig/standin/judge/doc.go
@@ -1,4 +1,4 @@
-// Package judge keeps a ledger of what callers, boxes and the Boxliste saw, and
+// Package judge keeps a ledger of what callers, boxes and discovery saw, and
 // finds breaches of the four rules in it. It never hears anything from a node.
 //
 // Times are handed in, counted from any common start, so that the same judge
--- a/internal/rig/standin/judge/judge.go
+++ b/internal/rig/standin/judge/judge.go
@@ -86,7 +86,7 @@
 	return [...]string{"no answer", "served", "refused", "failed", "lost", "left by its caller"}[e]
 }
 
-// State is what the Boxliste said of a box.
+// State is what discovery said of a box.
 type State int
 
 // The states.
@@ -254,7 +254,7 @@
 	return nil
 }
 
-// Told says that the Boxliste has written a box's state to a node.
+// Told says that discovery has written a box's state to a node.
 func (j *Judge) Told(at time.Duration, node, box string, s State) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/internal/rig/standin/plan.go
+++ b/internal/rig/standin/plan.go
@@ -44,9 +44,9 @@
 	TierWork     []float64 // the share of a class's work by tier; even if empty
 	Calls        float64   // mean calls to the next tier for each request
 	Notice       time.Duration
-	LinesASecond int // what the Boxliste can send to all nodes together
+	LinesASecond int // what discovery can send to all nodes together
 	// Pushed: lists come from an agent beside each node, which has a change at once and answers at no cost; while the
-	// Boxliste is out of order it is silent.
+	// discovery is out of order it is silent.
 	Pushed     bool
 	DrainGrace time.Duration
 }
@@ -144,5 +144,5 @@
 // Now is the time since the start.
 func (c Clock) Now() time.Duration { return time.Since(c.start) }
 
-// Unix is a time of this clock in milliseconds, as the Boxliste tells it.
+// Unix is a time of this clock in milliseconds, as discovery lists it.
 func (c Clock) Unix(at time.Duration) int64 { return c.start.Add(at).UnixMilli() }
--- a/internal/rig/standin/standin_test.go
+++ b/internal/rig/standin/standin_test.go
@@ -120,10 +120,10 @@
 	io.WriteString(w, body)
 }
 
-// list asks the Boxliste in the rogue's name, so that it counts as told.
+// list asks discovery in the rogue's name, so that the list counts as delivered.
 func (n *rogue) list(t *testing.T) {
 	t.Helper()
-	address, err := n.fleet.Liste.Front("rogue", "127.0.0.1")
+	address, err := n.fleet.Discovery.Endpoint("rogue", "127.0.0.1")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -155,7 +155,7 @@
 }
 
 // A node that breaks a rule must be caught over real sockets, from what callers,
-// boxes and Boxliste see alone; one that keeps them must not.
+// boxes and discovery see alone; one that keeps them must not.
 func TestJudgeCatchesRogueNodes(t *testing.T) {
 	for _, c := range []struct {
 		name   string
@@ -233,13 +233,13 @@
 		}, nil},
 		{"sends to a drained box", 3, "zustand", func(n *rogue, w http.ResponseWriter, r *http.Request) { n.pass(w, r, 0) },
 			func(t *testing.T, n *rogue) {
-				n.fleet.tell(n.fleet.Boxes[0], "DRAINING", true)
+				n.fleet.publish(n.fleet.Boxes[0], "DRAINING", true)
 				n.list(t)
 				time.Sleep(n.fleet.Plan.DrainGrace + 200*ms) // what it waits for is time itself
 			}},
 		{"sends to a drained box in the grace", 0, "zustand", func(n *rogue, w http.ResponseWriter, r *http.Request) { n.pass(w, r, 0) },
 			func(t *testing.T, n *rogue) {
-				n.fleet.tell(n.fleet.Boxes[0], "DRAINING", true)
+				n.fleet.publish(n.fleet.Boxes[0], "DRAINING", true)
 				n.list(t)
 			}},
 	} {
@@ -383,11 +383,11 @@
 	waitFor(t, "two are turned back", func() bool { return b.State().Refused == 2 && b.State().Conns == 3 })
 }
 
-// The Boxliste must tell whole lists, changes, nothing new, each after its
-// notice, and say to the judge what it told to whom.
-func TestListe(t *testing.T) {
+// Discovery must answer with whole lists, changes, nothing new, each after its
+// delay, and report to the judge what it delivered to whom.
+func TestDiscovery(t *testing.T) {
 	f := start(t, small())
-	address, err := f.Liste.Front("n", "127.0.0.1")
+	address, err := f.Discovery.Endpoint("n", "127.0.0.1")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -412,27 +412,27 @@
 	}
 	got := make(chan list, 1)
 	go func() { got <- ask("?since=4&timeout_ms=10000") }()
-	f.Liste.Lag(200 * ms)
+	f.Discovery.Lag(200 * ms)
 	before := f.Clock.Now()
-	f.tell(f.Boxes[2], "DRAINING", false)
+	f.publish(f.Boxes[2], "DRAINING", false)
 	l = <-got
 	if f.Clock.Now()-before < 200*ms {
-		t.Error("told before its notice")
+		t.Error("published before its delay was over")
 	}
 	if l.Reset || len(l.Instances) != 1 || l.Instances[0].Lifecycle != "DRAINING" || l.Generation != 5 {
 		t.Errorf("a change: %+v", l)
 	}
-	f.tell(f.Boxes[2], "DELETED", true)
+	f.publish(f.Boxes[2], "DELETED", true)
 	if l = ask(""); len(l.Instances) != 3 {
 		t.Errorf("a whole list with one gone: %+v", l)
 	}
-	f.Liste.Out(true)
+	f.Discovery.Out(true)
 	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	if resp, err := client.Get("http://" + address + "/v1/endpoints"); err == nil {
 		t.Errorf("out of order it answers %s", resp.Status)
 		resp.Body.Close()
 	}
-	f.Liste.Out(false)
+	f.Discovery.Out(false)
 	for _, query := range []string{"?since=x", "?since=1&timeout_ms=70000", "?since=-1&timeout_ms=1"} {
 		resp, err := client.Get("http://" + address + "/v1/endpoints" + query)
 		if err != nil {
@@ -444,12 +444,12 @@
 	}
 }
 
-// Lists of all nodes together come at the rate that the Boxliste can send.
-func TestListeRate(t *testing.T) {
+// Lists of all nodes together come at the rate that discovery can send.
+func TestDiscoveryRate(t *testing.T) {
 	plan := small()
 	plan.LinesASecond = 50
 	f := start(t, plan)
-	address, err := f.Liste.Front("n", "127.0.0.1")
+	address, err := f.Discovery.Endpoint("n", "127.0.0.1")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -557,30 +557,30 @@
 	parts.Wait()
 }
 
-// When a change counts as told to a node: 6 s after the Boxliste had it and could be reached; after a watch was swallowed 6 s
-// later, or 2 s after the end of its wait.
-func TestWhenChangesCountAsTold(t *testing.T) {
+// When a change counts as delivered to a node: 6 s after discovery had it and could be reached; after a long poll fell silent
+// 6 s later, or 2 s after the end of its wait.
+func TestWhenChangesCountAsDelivered(t *testing.T) {
 	for _, c := range []struct {
 		name    string
-		away    [][2]time.Duration
+		faulty  []interval
 		silent  []time.Duration
 		visible time.Duration
 		want    time.Duration
 	}{
 		{"at once", nil, nil, 10 * time.Second, 16 * time.Second},
-		{"made while it is away", [][2]time.Duration{{9 * time.Second, 12 * time.Second}}, nil, 10 * time.Second, 18 * time.Second},
-		{"away within the 6 s", [][2]time.Duration{{14 * time.Second, 15 * time.Second}}, nil, 10 * time.Second, 21 * time.Second},
-		{"away before", [][2]time.Duration{{time.Second, 9 * time.Second}}, nil, 10 * time.Second, 16 * time.Second},
-		{"away after it counts", [][2]time.Duration{{17 * time.Second, 30 * time.Second}}, nil, 10 * time.Second, 16 * time.Second},
-		{"missed by a swallowed watch", nil, []time.Duration{19 * time.Second}, 10 * time.Second, 19 * time.Second},
+		{"made while it is down", []interval{{9 * time.Second, 12 * time.Second}}, nil, 10 * time.Second, 18 * time.Second},
+		{"down within the 6 s", []interval{{14 * time.Second, 15 * time.Second}}, nil, 10 * time.Second, 21 * time.Second},
+		{"down before", []interval{{time.Second, 9 * time.Second}}, nil, 10 * time.Second, 16 * time.Second},
+		{"down after it counts", []interval{{17 * time.Second, 30 * time.Second}}, nil, 10 * time.Second, 16 * time.Second},
+		{"missed by a silent long poll", nil, []time.Duration{19 * time.Second}, 10 * time.Second, 19 * time.Second},
 		{"made after that", nil, []time.Duration{9 * time.Second}, 10 * time.Second, 16 * time.Second},
 		{"by an agent: at once", nil, []time.Duration{-1}, 10 * time.Second, 10 * time.Second},
-		{"by an agent that was silent", [][2]time.Duration{{9 * time.Second, 12 * time.Second}}, []time.Duration{-1}, 10 * time.Second, 12 * time.Second},
+		{"by an agent that was silent", []interval{{9 * time.Second, 12 * time.Second}}, []time.Duration{-1}, 10 * time.Second, 12 * time.Second},
 	} {
-		f := &listeFront{liste: &Liste{away: c.away}, silent: c.silent}
-		f.liste.pushed = slices.Contains(c.silent, -1)
-		if got := f.due(c.visible); got != c.want {
-			t.Errorf("%s: counts as told at %v, want %v", c.name, got, c.want)
+		e := &discoveryEndpoint{discovery: &Discovery{unreachable: c.faulty}, silentUntil: c.silent}
+		e.discovery.pushed = slices.Contains(c.silent, -1)
+		if got := e.countsFrom(c.visible); got != c.want {
+			t.Errorf("%s: counts as delivered at %v, want %v", c.name, got, c.want)
 		}
 	}
 }
