--- a/pure_test.go
+++ b/pure_test.go
@@ -18,6 +18,7 @@
 		"internal/sched/wheel", "internal/conns/hold", "internal/sched/background", "internal/conns/pressure",
 		"internal/store", "internal/servers/recall", "internal/servers/doubt", "internal/servers/endpoints", "internal/fleet/membership", "internal/fleet/wire",
 		"internal/fleet/allowance", "internal/fleet/lease", "internal/fleet/agree", "internal/fleet/form", "internal/fleet/ledger", "internal/fleet/council", "internal/fleet/record", "internal/fleet/maintenance",
+		"internal/rig/registry",
 	}
 }
 
