Have the stand-in's discovery work through calls in turn, with time-outs

Need: the stand-in charged an answer when it was due, and no call ever failed for having waited. Change: its capacity is a registry.Queue: a call costs its lines when it comes, is answered 503 after the time-out or at once at a full queue, and a long poll opens when its turn has come and is written to through the queue. Plan.Registry, checked, in the place of LinesASecond; Plan.OutageAnswers answers calls amid an outage 503 after the time-out. Calls are counted by node. An outage now also cuts off the calls in the queue, not the open long polls alone.

--- /dev/null
+++ b/internal/rig/standin/answer.go
@@ -0,0 +1,87 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"curlewring/internal/rig/standin/judge"
+)
+
+// listAnswer is an answer's body, in the protocol's form.
+type listAnswer struct {
+	Generation int     `json:"generation"`
+	Whole      bool    `json:"reset"`
+	Instances  []entry `json:"instances"`
+
+	gone       []string // boxes that a whole list leaves out
+	falsehoods int      // discovery's count when it was made
+}
+
+func (a *listAnswer) encode() ([]byte, error) {
+	if a.Instances == nil {
+		a.Instances = []entry{} // null otherwise
+	}
+	return json.Marshal(a)
+}
+
+// compose makes the list up to version n for a caller that has a version; the mutex is held.
+func (e *discoveryEndpoint) compose(since, n int) *listAnswer {
+	d := e.discovery
+	a := &listAnswer{Generation: n, falsehoods: d.falsehoods}
+	a.Whole = since == wholeList || since > n || d.empty || e.falsehoods != d.falsehoods
+	switch {
+	case a.Whole && d.empty:
+		a.gone = d.missing(n, nil)
+	case a.Whole:
+		a.Instances = withoutDeleted(d.upTo(0, n))
+		a.gone = d.missing(n, a.Instances)
+	default:
+		a.Instances = d.upTo(since, n)
+	}
+	return a
+}
+
+// countAnswer counts an answer that will be written when its turn comes; nil: none yet. The mutex is held.
+func (d *Discovery) countAnswer(a *listAnswer) {
+	if a != nil {
+		d.calls++
+		d.lines += len(a.Instances)
+	}
+}
+
+// write sends an answer, and reports to the judge what it delivered.
+func (e *discoveryEndpoint) write(w http.ResponseWriter, a *listAnswer) error {
+	text, err := a.encode()
+	if err != nil {
+		return err
+	}
+	d := e.discovery
+	e.count(func(*NodeCalls) { e.falsehoods = a.falsehoods }) // before the node can call again
+	w.Header().Set("Content-Type", "application/json")
+	writing := d.clock.Now()
+	if _, err := w.Write(text); err != nil || http.NewResponseController(w).Flush() != nil {
+		return errCallerLeft // nothing is delivered
+	}
+	e.delivered(a, writing, d.clock.Now())
+	return nil
+}
+
+// delivered reports to the judge what was written between two times.
+func (e *discoveryEndpoint) delivered(a *listAnswer, writing, written time.Duration) {
+	e.count(func(c *NodeCalls) { c.Version = max(c.Version, a.Generation) })
+	report := func(at time.Duration, box string, state judge.State) {
+		e.discovery.judge.Known(at, e.node, box, state, a.Generation, false)
+	}
+	for i := range a.Instances {
+		box := &a.Instances[i]
+		at := written
+		if box.state() == judge.Serving { // the node may go by it before this goroutine runs again
+			at = writing
+		}
+		report(at, box.ID, box.state())
+	}
+	for _, id := range a.gone {
+		report(written, id, judge.Gone)
+	}
+}
--- /dev/null
+++ b/internal/rig/standin/capacity.go
@@ -0,0 +1,67 @@
+package standin
+
+import (
+	"fmt"
+	"time"
+
+	"curlewring/internal/rig/registry"
+)
+
+// Bounds of a registry's settings.
+const (
+	mostLines        = 1e6
+	mostQueueTimeout = time.Minute
+	mostOverbook     = 1000
+)
+
+// SettingError is a setting out of its bounds.
+type SettingError struct {
+	Key         string
+	Value       any
+	Least, Most any
+	Reason      string // of the bounds, where they are not plain
+}
+
+func (e *SettingError) Error() string {
+	text := fmt.Sprintf("%s is %v, allowed: %v to %v", e.Key, e.Value, e.Least, e.Most)
+	if e.Reason != "" {
+		text += ": " + e.Reason
+	}
+	return text
+}
+
+// validateCapacity checks a registry's settings.
+func validateCapacity(s registry.Settings) error {
+	for _, x := range []struct {
+		key   string
+		value float64
+		most  float64
+	}{
+		{"registry.lines_per_second", s.LinesPerSecond, mostLines},
+		{"registry.call_lines", s.CallLines, mostLines},
+		{"registry.overbook", s.Overbook, mostOverbook},
+		{"registry.other_lines_per_second", s.OtherLinesPerSecond, mostLines},
+	} {
+		if !(x.value >= 0 && x.value <= x.most) { // NaN is neither
+			return &SettingError{Key: x.key, Value: x.value, Least: 0, Most: x.most}
+		}
+	}
+	if s.QueueTimeout < 0 || s.QueueTimeout > mostQueueTimeout {
+		return &SettingError{Key: "registry.queue_timeout", Value: s.QueueTimeout, Least: time.Duration(0), Most: mostQueueTimeout}
+	}
+	return nil
+}
+
+// validateRegistry checks what a plan says of discovery.
+func (p *Plan) validateRegistry() error {
+	if err := validateCapacity(p.Registry); err != nil {
+		return err
+	}
+	if p.OutageAnswers && p.Registry.QueueTimeout == 0 {
+		return &SettingError{
+			Key: "registry.queue_timeout", Value: p.Registry.QueueTimeout, Least: time.Nanosecond, Most: mostQueueTimeout,
+			Reason: "a call that comes while discovery is down is answered after it",
+		}
+	}
+	return nil
+}
--- a/internal/rig/standin/discovery.go
+++ b/internal/rig/standin/discovery.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"curlewring/internal/rig/registry"
 	"curlewring/internal/rig/standin/judge"
 )
 
@@ -43,44 +44,46 @@
 }
 
 // Discovery is the discovery service of one tier: it answers calls for the whole list, and long polls that wait for
-// changes. It publishes each change some time after it happened, sends no more than so many lines a second to all nodes
-// together, and may be down for a while.
+// changes. It publishes each change some time after it happened, works through the calls of all nodes in turn at its
+// capacity, and may be down for a while.
 type Discovery struct {
 	clock Clock
 	judge *judge.Judge
 
-	mu             sync.Mutex
-	changes        []change      // version n is changes[n-1]
-	publishDelay   time.Duration // from a change to its publication
-	linesPerSecond int           // 0: any number
-	busyUntil      time.Duration
-	down           bool
-	empty          bool          // answers hold no server
-	backupAt       time.Duration // answers are those of this time; 0: of now
-	falsehoods     int           // raised with each false list that begins or ends, so that open long polls are answered
-	changed        chan struct{} // closed and replaced with every change of any kind
-	endpoints      []*discoveryEndpoint
-	calls          int
-	lines          int
-	unreachable    []interval    // when it was down, or its answers were false
-	faultySince    time.Duration // 0: it is neither down nor false
-	pushed         bool          // each endpoint is an agent beside its node: what it has counts as delivered at once
-	silences       int           // raised each time that the open long polls fall silent
-}
-
-// NewDiscovery returns a service with an empty list.
-func NewDiscovery(clock Clock, j *judge.Judge, publishDelay time.Duration, linesPerSecond int) *Discovery {
-	return &Discovery{
-		clock: clock, judge: j, publishDelay: publishDelay, linesPerSecond: linesPerSecond, changed: make(chan struct{}),
-	}
+	mu           sync.Mutex
+	changes      []change      // version n is changes[n-1]
+	publishDelay time.Duration // from a change to its publication
+	capacity     registry.Settings
+	queue        *registry.Queue // of the work that calls of all nodes cost
+	down         bool
+	outages      int           // raised each time that it goes down, so that calls under way fail
+	outageError  time.Duration // a call that comes while it is down is answered 503 after so long; 0: it is cut off
+	empty        bool          // answers hold no server
+	backupAt     time.Duration // answers are those of this time; 0: of now
+	falsehoods   int           // raised with each false list that begins or ends, so that open long polls are answered
+	changed      chan struct{} // closed and replaced with every change of any kind
+	endpoints    []*discoveryEndpoint
+	calls        int
+	lines        int
+	unreachable  []interval    // when it was down, or its answers were false
+	faultySince  time.Duration // 0: it is neither down nor false
+	pushed       bool          // each endpoint is an agent beside its node: what it has counts as delivered at once
+	silences     int           // raised each time that the open long polls fall silent
 }
 
 // newDiscovery returns a service with an empty list, as a plan has it.
 func newDiscovery(clock Clock, j *judge.Judge, p *Plan) *Discovery {
-	d := NewDiscovery(clock, j, p.Notice, p.LinesASecond)
+	d := &Discovery{
+		clock: clock, judge: j, publishDelay: p.Notice, pushed: p.Pushed, changed: make(chan struct{}),
+	}
+	if p.OutageAnswers {
+		d.outageError = p.Registry.QueueTimeout
+	}
+	capacity := p.Registry
 	if p.Pushed {
-		d.pushed, d.linesPerSecond = true, 0
+		capacity = registry.Settings{}
 	}
+	d.limit(capacity)
 	return d
 }
 
@@ -142,10 +145,14 @@
 	d.publishDelay = publishDelay
 }
 
-// Out puts discovery out of order, or ends that. Open long polls end with it.
+// Out puts discovery out of order, or ends that. All calls under way fail with it, and their work is dropped.
 func (d *Discovery) Out(on bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if on && !d.down {
+		d.outages++
+		d.queue.Restart(d.clock.Now())
+	}
 	d.down = on
 	d.noteFault(on)
 	d.wake()
@@ -183,18 +190,28 @@
 	d.wake()
 }
 
-// Pace sets how many lines a second it can send from now on; 0: any number.
+// Pace sets how many lines a second it can send from now on, where a call costs one; 0: any number.
 func (d *Discovery) Pace(linesPerSecond int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.linesPerSecond = linesPerSecond
+	d.limit(registry.Settings{LinesPerSecond: float64(linesPerSecond), CallLines: 1})
 }
 
-// Calls is how many calls and list lines it has answered.
-func (d *Discovery) Calls() (calls, lines int) {
+// Limit sets its capacity from now on.
+func (d *Discovery) Limit(capacity registry.Settings) error {
+	if err := validateCapacity(capacity); err != nil {
+		return err
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.calls, d.lines
+	d.limit(capacity)
+	return nil
+}
+
+// limit begins with an empty queue; d.mu is held, or nobody else has d yet.
+func (d *Discovery) limit(capacity registry.Settings) {
+	d.capacity, d.queue = capacity, registry.New(capacity)
+	d.queue.Restart(d.clock.Now())
 }
 
 // version is the newest published one, and how long until the next is; d.mu is held.
--- a/internal/rig/standin/fleet.go
+++ b/internal/rig/standin/fleet.go
@@ -28,6 +28,9 @@
 
 // Start opens a fleet. Boxes of a tier that calls another wait for Attach.
 func Start(plan Plan) (*Fleet, error) {
+	if err := plan.validateRegistry(); err != nil {
+		return nil, err
+	}
 	clock := NewClock()
 	f := &Fleet{Plan: plan, Clock: clock, Judge: judge.New(plan.Rules())}
 	f.beat, f.trees = startBeat(clock, f.Judge), newTrees()
