Play a fleet of processes at discovery's return into a release: red, its queue never clears

Need: a fleet whose calls go beyond discovery's capacity was played by package tests alone. Change: 24 processes before 14 boxes, a call of each node takes discovery 5 s, calls time out in its queue after 2 s, and it keeps up to 4 s of work waiting; down for 4 s, then four drains 0.9 s apart and three nodes killed. Checked from outside: the four rules, every node has the newest list within 8 s of the last replacement, calls stay under the capacity then.

--- /dev/null
+++ b/internal/rig/lab/overload_test.go
@@ -0,0 +1,140 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"curlewring/internal/rig/registry"
+	"curlewring/internal/rig/standin"
+)
+
+// overload is a fleet whose nodes together can ask discovery for more than it can work through. Times count from the
+// start of the traffic.
+type overload struct {
+	nodes    int
+	allCalls time.Duration // in which discovery can take one call from each node
+	settled  time.Duration // the last disturbance is over
+	recovery time.Duration // after which every node must have the newest list
+	quiet    time.Duration // how long calls are counted from then on
+}
+
+// callLines is what a call costs discovery in these tests.
+const callLines = 30
+
+// capacity is what discovery can bear. It keeps more calls waiting than it can answer in time.
+func (o *overload) capacity() registry.Settings {
+	return registry.Settings{
+		LinesPerSecond: float64(o.nodes) * callLines / o.allCalls.Seconds(), CallLines: callLines,
+		QueueTimeout: 2 * time.Second, Overbook: 2,
+	}
+}
+
+// callSample is what discovery has counted at a time.
+type callSample struct {
+	at    time.Duration
+	total standin.NodeCalls // Version is the oldest that a node has
+}
+
+func (s callSample) String() string {
+	c := s.total
+	return fmt.Sprintf("%5.1f s: offered %4d, answered %4d, timed out %4d, rejected %4d, failed %4d, open %2d, version %d",
+		s.at.Seconds(), c.Offered, c.Answered, c.TimedOut, c.Rejected, c.Failed, c.Open, c.Version)
+}
+
+// sampleCalls adds the counts of all nodes up.
+func sampleCalls(d *standin.Discovery, at time.Duration) callSample {
+	s := callSample{at: at}
+	s.total.Version = d.Version()
+	for _, c := range d.CallsByNode() {
+		s.total.Offered += c.Offered
+		s.total.Answered += c.Answered
+		s.total.TimedOut += c.TimedOut
+		s.total.Rejected += c.Rejected
+		s.total.Failed += c.Failed
+		s.total.Open += c.Open
+		s.total.Version = min(s.total.Version, c.Version)
+	}
+	return s
+}
+
+// play runs the fleet through faults, and checks from outside that it comes back.
+func (o *overload) play(t *testing.T, faults ...string) {
+	t.Helper()
+	options := options()
+	options.Nodes, options.Plan.Boxes = o.nodes, 14
+	options.Plan.Registry.QueueTimeout, options.Plan.OutageAnswers = o.capacity().QueueTimeout, true
+	options.Traffic.Rate, options.Traffic.For = 120, o.settled+o.recovery+o.quiet
+	for _, text := range faults {
+		f, err := standin.ParseFault(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		options.Faults = append(options.Faults, f)
+	}
+	l, err := Open(context.Background(), options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	d := l.Fleet.Discovery
+	if err := d.Limit(o.capacity()); err != nil {
+		t.Fatal(err)
+	}
+	var samples []callSample
+	r, err := l.Run(context.Background(), func(now Progress) { samples = append(samples, sampleCalls(d, now.At)) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range samples {
+		t.Log(s)
+	}
+	check(t, r)
+	o.checkCalls(t, samples, d.Version())
+	if part := service(r); part < 0.9 {
+		t.Errorf("%.3f served", part)
+	}
+}
+
+// checkCalls checks that calls timed out, that every node has the newest list soon enough after the last disturbance, and
+// that calls then stay under discovery's capacity.
+func (o *overload) checkCalls(t *testing.T, samples []callSample, newest int) {
+	t.Helper()
+	last := samples[len(samples)-1]
+	if last.total.TimedOut == 0 {
+		t.Error("no call timed out in the queue: the test shows nothing")
+	}
+	bound := o.settled + o.recovery
+	recovered := time.Duration(0)
+	var from callSample
+	for _, s := range samples {
+		if recovered == 0 && s.total.Version == newest {
+			recovered = s.at
+		}
+		if s.at <= bound {
+			from = s
+		}
+	}
+	if recovered == 0 || recovered > bound {
+		t.Errorf("all nodes have the newest list at %v (0s: never), want %v at the latest", recovered, bound)
+	}
+	offered := float64(last.total.Offered-from.total.Offered) / (last.at - from.at).Seconds()
+	if most := o.capacity().LinesPerSecond / callLines; offered >= most {
+		t.Errorf("%.1f calls a second at the end, discovery can take %.1f", offered, most)
+	}
+	if last.total.Rejected > from.total.Rejected || last.total.TimedOut > from.total.TimedOut {
+		t.Errorf("calls still fail at the end: %v, then %v", from, last)
+	}
+}
+
+// Discovery is down, and comes back into a release: boxes drain one after the other and are replaced, and nodes die
+// at the same time. Each change has every node call again, and discovery takes seconds for that. The calls must not keep
+// its queue at a length at which none is answered in time.
+func TestDiscoveryReturnsIntoARelease(t *testing.T) {
+	t.Parallel()
+	o := overload{nodes: 24, allCalls: 5 * time.Second, settled: 17 * time.Second, recovery: 8 * time.Second, quiet: 4 * time.Second}
+	o.play(t, "outage:at=500ms,for=4s",
+		"leave:box=1,at=4600ms,for=9s", "leave:box=4,at=5500ms,for=9s", "leave:box=7,at=6400ms,for=9s", "leave:box=10,at=7300ms,for=9s",
+		"kill:node=3,at=4800ms,for=700ms", "kill:node=11,at=5s,for=700ms", "kill:node=18,at=5200ms,for=700ms")
+}
