--- a/internal/rig/lab/overload_test.go
+++ b/internal/rig/lab/overload_test.go
@@ -128,13 +128,13 @@
 	}
 }
 
-// Discovery is down, and comes back into a release: boxes drain one after the other and are replaced, and nodes die
-// at the same time. Each change has every node call again, and discovery takes seconds for that. The calls must not keep
-// its queue at a length at which none is answered in time.
+// Discovery is down, and comes back with the work of its other callers before it and into a release: nodes die, and boxes
+// drain one after the other and are replaced. Each change has every node call again, and discovery takes seconds for
+// that. The calls must not keep its queue at a length at which none is answered in time.
 func TestDiscoveryReturnsIntoARelease(t *testing.T) {
 	t.Parallel()
-	o := overload{nodes: 24, allCalls: 5 * time.Second, settled: 17 * time.Second, recovery: 8 * time.Second, quiet: 4 * time.Second}
-	o.play(t, "outage:at=500ms,for=4s",
-		"leave:box=1,at=4600ms,for=9s", "leave:box=4,at=5500ms,for=9s", "leave:box=7,at=6400ms,for=9s", "leave:box=10,at=7300ms,for=9s",
-		"kill:node=3,at=4800ms,for=700ms", "kill:node=11,at=5s,for=700ms", "kill:node=18,at=5200ms,for=700ms")
+	o := overload{nodes: 24, allCalls: 4 * time.Second, settled: 17 * time.Second, recovery: 8 * time.Second, quiet: 3 * time.Second}
+	o.play(t, "outage:at=500ms,for=4s", "backlog:at=4510ms,by=3",
+		"kill:node=3,at=4600ms,for=400ms", "kill:node=11,at=4700ms,for=400ms", "kill:node=18,at=4800ms,for=400ms",
+		"leave:box=1,at=6s,for=8s", "leave:box=4,at=6900ms,for=8s", "leave:box=7,at=7800ms,for=8s", "leave:box=10,at=8700ms,for=8s")
 }
--- a/internal/rig/standin/discovery.go
+++ b/internal/rig/standin/discovery.go
@@ -197,6 +197,13 @@
 	d.limit(registry.Settings{LinesPerSecond: float64(linesPerSecond), CallLines: 1})
 }
 
+// Crowd queues so much work of callers outside the fleet at once. Without a bound on its capacity there is no queue.
+func (d *Discovery) Crowd(work time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.queue.Write(d.clock.Now(), int(d.capacity.LinesPerSecond*work.Seconds()))
+}
+
 // Limit sets its capacity from now on.
 func (d *Discovery) Limit(capacity registry.Settings) error {
 	if err := validateCapacity(capacity); err != nil {
--- a/internal/rig/standin/discovery_test.go
+++ b/internal/rig/standin/discovery_test.go
@@ -191,6 +191,21 @@
 	}
 }
 
+// The work of callers outside the fleet takes its place in the queue.
+func TestBacklogOfOtherCallers(t *testing.T) {
+	f, url := limited(t, 100, false)
+	fault, err := ParseFault("backlog:at=0s,for=0s,by=0.7")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if errs := f.Play(t.Context(), []Fault{fault}, nil); len(errs) > 0 {
+		t.Fatal(errs)
+	}
+	if e := <-callAsync(t, url+"?since=4&timeout_ms=0"); e.status != http.StatusServiceUnavailable || e.took < 400*ms {
+		t.Errorf("behind 0.7 s of work: %+v", e)
+	}
+}
+
 // A long poll that finds nothing new opens when its turn has come, and what it then has to tell goes through the queue.
 func TestLongPollsGoThroughTheQueue(t *testing.T) {
 	f, url := limited(t, 100, false) // an empty call takes 0.1 s
--- a/internal/rig/standin/fault.go
+++ b/internal/rig/standin/fault.go
@@ -19,7 +19,7 @@
 	To   string
 	At   time.Duration
 	For  time.Duration
-	By   float64 // slow: times slower; lag: seconds more; backup: seconds back; lose, twice, damage: part; late: seconds
+	By   float64 // slow: times slower; lag: seconds more; backup: seconds back; backlog: seconds of work; lose, twice, damage: part; late: seconds
 }
 
 // faultKinds are the kinds, and what they happen to.
@@ -28,6 +28,7 @@
 		"slow": "boxes", "stuck": "boxes", "reset": "boxes", "refuse": "boxes", "silent": "boxes", "crash": "boxes",
 		"drain": "boxes", "leave": "boxes", "garble": "boxes", "error": "boxes", "turnaway": "boxes",
 		"lag": "discovery", "outage": "discovery", "empty": "discovery", "backup": "discovery", "blackhole": "discovery",
+		"backlog": "discovery",
 		"kill": "node", "stop": "node", "term": "node",
 		"cut": "links", "lose": "links", "late": "links", "twice": "links", "damage": "links",
 	}
@@ -214,6 +215,9 @@
 	case "blackhole":
 		f.Discovery.Swallow()
 		return nil
+	case "backlog":
+		f.Discovery.Crowd(time.Duration(x.By * float64(time.Second)))
+		return nil
 	case "kill":
 		return nodes.Kill(x.Node)
 	case "term":
@@ -275,7 +279,7 @@
 	case "backup":
 		f.Discovery.Back(0)
 		return nil
-	case "blackhole": // what was swallowed stays so
+	case "blackhole", "backlog": // what was swallowed stays so, and the queue is worked off
 		return nil
 	case "kill", "term":
 		return nodes.Start(x.Node)
