--- a/internal/rig/standin/fault.go
+++ b/internal/rig/standin/fault.go
@@ -29,7 +29,7 @@
 		"drain": "boxes", "leave": "boxes", "garble": "boxes", "error": "boxes", "turnaway": "boxes",
 		"lag": "discovery", "outage": "discovery", "empty": "discovery", "backup": "discovery", "blackhole": "discovery",
 		"backlog": "discovery",
-		"kill": "node", "stop": "node", "term": "node",
+		"kill":    "node", "stop": "node", "term": "node",
 		"cut": "links", "lose": "links", "late": "links", "twice": "links", "damage": "links",
 	}
 }
