--- a/internal/rig/lab/lab.go
+++ b/internal/rig/lab/lab.go
@@ -249,6 +249,9 @@
 			return err
 		}
 	}
+	if f.Kind == "move" && l.options.Sidecars {
+		return fmt.Errorf("fault %s: sidecars have discovery's address from files that are written once", f.Kind)
+	}
 	if f.Node == "" {
 		return l.Fleet.CheckFault(f)
 	}
@@ -337,6 +340,26 @@
 	return errors.Join(errs...)
 }
 
+// Move opens another address of discovery for each node, and has all nodes read their files again. What they hear from the
+// old address meanwhile still counts.
+func (l *Lab) Move() error {
+	for _, p := range l.processes() {
+		s, ok := l.specs[p.name]
+		if !ok {
+			continue // it does not balance
+		}
+		address, err := l.Fleet.Endpoint(s.Name, s.Tier)
+		if err != nil {
+			return err
+		}
+		l.lists[s.Name] = address
+		if err := l.writeConfig(s); err != nil {
+			return err
+		}
+	}
+	return l.Reload()
+}
+
 // Log is what a node has written last.
 func (l *Lab) Log(name string) string {
 	p, err := l.find(name)
--- a/internal/rig/lab/overload_test.go
+++ b/internal/rig/lab/overload_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 	settled  time.Duration // the last disturbance is over
 	recovery time.Duration // after which every node must have the newest list
 	quiet    time.Duration // how long calls are counted from then on
+	logged   string        // by every node; "": anything
 }
 
 // callLines is what a call costs discovery in these tests.
@@ -91,6 +93,11 @@
 		t.Log(s)
 	}
 	check(t, r)
+	for _, n := range r.Nodes {
+		if !strings.Contains(l.Log(n.Name), o.logged) {
+			t.Errorf("%s has not logged %q", n.Name, o.logged)
+		}
+	}
 	o.checkCalls(t, samples, d.Version())
 	if part := service(r); part < 0.9 {
 		t.Errorf("%.3f served", part)
@@ -138,3 +145,15 @@
 		"kill:node=3,at=4600ms,for=400ms", "kill:node=11,at=4700ms,for=400ms", "kill:node=18,at=4800ms,for=400ms",
 		"leave:box=1,at=7500ms,for=8s", "leave:box=4,at=8400ms,for=8s", "leave:box=7,at=9300ms,for=8s", "leave:box=10,at=10200ms,for=8s")
 }
+
+// Discovery moves while its queue is full and boxes drain: all nodes call at once at the new address, and what they asked for
+// at the old one is spent work.
+func TestDiscoveryMovesWhileItsQueueIsFull(t *testing.T) {
+	t.Parallel()
+	o := overload{
+		nodes: 24, allCalls: 4 * time.Second, settled: 15 * time.Second, recovery: 7 * time.Second, quiet: 3 * time.Second,
+		logged: "discovery moves",
+	}
+	o.play(t, "backlog:at=500ms,by=4", "move:at=1s",
+		"leave:box=1,at=4s,for=8s", "leave:box=4,at=4900ms,for=8s", "leave:box=7,at=5800ms,for=8s")
+}
--- a/internal/rig/standin/discovery.go
+++ b/internal/rig/standin/discovery.go
@@ -87,24 +87,39 @@
 	return d
 }
 
-// Endpoint opens an address for one node.
+// Endpoint opens an address for one node; one that has an address already has both.
 func (d *Discovery) Endpoint(node, host string) (string, error) {
 	listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 	if err != nil {
 		return "", fmt.Errorf("discovery: %w", err)
 	}
-	e := &discoveryEndpoint{discovery: d, node: node, ended: make(chan struct{})}
-	e.server = &http.Server{Handler: e, ErrorLog: log.New(io.Discard, "", 0)}
+	e := d.endpointOf(node)
+	server := &http.Server{Handler: e, ErrorLog: log.New(io.Discard, "", 0)}
+	ended := make(chan struct{})
 	d.mu.Lock()
-	d.endpoints = append(d.endpoints, e)
+	e.addresses = append(e.addresses, address{server, ended})
 	d.mu.Unlock()
 	go func() { // ends with Close
-		defer close(e.ended)
-		e.server.Serve(listener)
+		defer close(ended)
+		server.Serve(listener)
 	}()
 	return listener.Addr().String(), nil
 }
 
+// endpointOf returns a node's endpoint, a new one if it has none.
+func (d *Discovery) endpointOf(node string) *discoveryEndpoint {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, e := range d.endpoints {
+		if e.node == node {
+			return e
+		}
+	}
+	e := &discoveryEndpoint{discovery: d, node: node}
+	d.endpoints = append(d.endpoints, e)
+	return e
+}
+
 // Close ends all endpoints.
 func (d *Discovery) Close() {
 	d.mu.Lock()
@@ -112,8 +127,10 @@
 	d.endpoints = nil
 	d.mu.Unlock()
 	for _, e := range endpoints {
-		e.server.Close()
-		<-e.ended
+		for _, a := range e.addresses {
+			a.server.Close()
+			<-a.ended
+		}
 	}
 }
 
--- a/internal/rig/standin/discovery_test.go
+++ b/internal/rig/standin/discovery_test.go
@@ -255,6 +255,24 @@
 	}
 }
 
+// A node may have two addresses of discovery, as while that moves: it is one node to the judge and in the counts.
+func TestTwoAddressesOfANode(t *testing.T) {
+	f, first := limited(t, 0, false)
+	address, err := f.Discovery.Endpoint("n", "127.0.0.1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, url := range []string{first, "http://" + address + "/v1/endpoints"} {
+		if body := get(t, url); !strings.Contains(body, `"generation":4`) {
+			t.Errorf("%s: %s", url, body)
+		}
+	}
+	waitFor(t, "both are counted", func() bool { return f.Discovery.CallsByNode()["n"].Answered == 2 })
+	if len(f.Discovery.endpoints) != 1 {
+		t.Errorf("%d endpoints, want one with two addresses", len(f.Discovery.endpoints))
+	}
+}
+
 // A plan whose registry makes no sense is not taken, and the error says what is wrong.
 func TestBadRegistrySettings(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/rig/standin/endpoint.go
+++ b/internal/rig/standin/endpoint.go
@@ -11,18 +11,23 @@
 	"curlewring/internal/rig/registry"
 )
 
-// discoveryEndpoint is discovery's address for one node, by which it knows whom it answers. Discovery's mutex guards
+// discoveryEndpoint is discovery as one node reaches it: by its addresses it knows whom it answers. Discovery's mutex guards
 // what changes.
 type discoveryEndpoint struct {
 	discovery   *Discovery
 	node        string
-	server      *http.Server
-	ended       chan struct{}
+	addresses   []address
 	falsehoods  int             // that its node has been answered since
 	silentUntil []time.Duration // until when what a silent long poll missed does not count as delivered
 	counts      NodeCalls
 }
 
+// address is one at which an endpoint is served.
+type address struct {
+	server *http.Server
+	ended  chan struct{}
+}
+
 // longestPoll is the longest wait that a long poll may ask for, in milliseconds.
 const longestPoll = 60000
 
--- a/internal/rig/standin/fault.go
+++ b/internal/rig/standin/fault.go
@@ -28,8 +28,8 @@
 		"slow": "boxes", "stuck": "boxes", "reset": "boxes", "refuse": "boxes", "silent": "boxes", "crash": "boxes",
 		"drain": "boxes", "leave": "boxes", "garble": "boxes", "error": "boxes", "turnaway": "boxes",
 		"lag": "discovery", "outage": "discovery", "empty": "discovery", "backup": "discovery", "blackhole": "discovery",
-		"backlog": "discovery",
-		"kill":    "node", "stop": "node", "term": "node",
+		"backlog": "discovery", "move": "discovery",
+		"kill": "node", "stop": "node", "term": "node",
 		"cut": "links", "lose": "links", "late": "links", "twice": "links", "damage": "links",
 	}
 }
@@ -154,6 +154,8 @@
 	Start(name string) error
 	Stop(name string) error // it stands still ...
 	Cont(name string) error // ... and goes on
+	// Move has discovery at another address from now on, of which nodes hear as of any change of their configuration.
+	Move() error
 	// Link makes or ends a fault of the links between nodes.
 	Link(f *Fault, on bool) error
 }
@@ -218,6 +220,8 @@
 	case "backlog":
 		f.Discovery.Crowd(time.Duration(x.By * float64(time.Second)))
 		return nil
+	case "move":
+		return nodes.Move()
 	case "kill":
 		return nodes.Kill(x.Node)
 	case "term":
@@ -279,7 +283,7 @@
 	case "backup":
 		f.Discovery.Back(0)
 		return nil
-	case "blackhole", "backlog": // what was swallowed stays so, and the queue is worked off
+	case "blackhole", "backlog", "move": // what was swallowed stays so, the queue is worked off, and nothing moves back
 		return nil
 	case "kill", "term":
 		return nodes.Start(x.Node)
