--- /dev/null
+++ b/decide/unconfirmed_test.go
@@ -0,0 +1,156 @@
+package decide
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// askingNode returns the only node before servers of a list that comes when asked for, as discovery has just told it.
+func askingNode(servers ...string) *Balancer {
+	b := New(Settings{
+		Nodes: 1, MaxTries: 3, AnswerGrace: 10 * ms, MustAsk: true, AskWithin: 10 * time.Second,
+		Classes: []Class{{Aim: time.Second, Deadline: 2 * time.Second, Worth: 1}},
+	}, 1, time.Second)
+	var list []Server
+	for _, id := range servers {
+		list = append(list, Server{ID: id})
+	}
+	b.Members(time.Second, Members{Change: ListFull, Servers: list}, nil)
+	return b
+}
+
+// ask sends one request and ends its attempt with what the server answers; it returns the server, "" if there was none.
+func ask(b *Balancer, now time.Duration, result func(server string) Result) string {
+	nextID++
+	for _, a := range b.Request(now, Request{ID: nextID, Tenant: -1, TTL: 2 * time.Second}, nil) {
+		if a.Kind == Send {
+			r := result(a.Server)
+			b.Outcome(now+10*ms, Outcome{Request: nextID, Server: a.Server, Result: r, Elapsed: 10 * ms, Final: true}, nil)
+			return a.Server
+		}
+	}
+	return ""
+}
+
+// serveAll answers every request.
+func serveAll(string) Result { return Served }
+
+// asked returns which servers get requests that are sent every 20 ms for a time.
+func asked(b *Balancer, from, until time.Duration, result func(server string) Result) (servers []string) {
+	for now := from; now < until; now += 20 * ms {
+		if s := ask(b, now, result); s != "" && !slices.Contains(servers, s) {
+			servers = append(servers, s)
+		}
+	}
+	slices.Sort(servers)
+	return servers
+}
+
+// Once drains may count as told that the node can't have heard of, it must send to servers that took new work lately alone,
+// and to others of the list again as soon as discovery answers. Before that time nothing changes.
+func TestUnconfirmedListLeavesProvenServers(t *testing.T) {
+	b := askingNode("a", "b", "c", "d")
+	at := 2 * time.Second
+	drained := func(server string) Result { // two have drained in between, and turn away what comes
+		if server == "c" || server == "d" {
+			return Full
+		}
+		return Served
+	}
+	b.Members(at, Members{Change: ListFailed, Confirmed: 7 * time.Second}, nil)
+	if got := asked(b, at, 7*time.Second, drained); len(got) != 4 {
+		t.Fatalf("while the list is confirmed only %v are asked", got)
+	}
+	if got := asked(b, 7*time.Second, 20*time.Second, drained); !slices.Equal(got, []string{"a", "b"}) {
+		t.Errorf("with the list unconfirmed %v are asked, want a and b", got)
+	}
+	b.Members(20*time.Second, Members{Change: ListDiff}, nil)
+	if got := asked(b, 20*time.Second, 40*time.Second, serveAll); !slices.Contains(got, "c") && !slices.Contains(got, "d") {
+		t.Errorf("with the list confirmed only %v are asked", got)
+	}
+}
+
+// A node that has sent nothing for a while has no server that took new work lately. It must go on with the one that did so
+// last, never with one that has turned it away since, and not refuse all it gets.
+func TestUnconfirmedListWithoutProof(t *testing.T) {
+	b := askingNode("a", "b", "c")
+	b.Members(time.Second, Members{Change: ListFailed, Confirmed: 3 * time.Second}, nil)
+	asked(b, time.Second, 2*time.Second, func(server string) Result {
+		if server == "c" {
+			return Full
+		}
+		return Served
+	})
+	last := ask(b, 2500*ms, serveAll)
+	for last == "c" {
+		t.Fatal("the seed has to be another: the last one served is the one that drains")
+	}
+	if got := ask(b, 30*time.Second, func(string) Result { return Full }); got != last {
+		t.Errorf("after a pause %q is asked, want %q, which served last", got, last)
+	}
+	if got := ask(b, 31*time.Second, serveAll); got == last || got == "c" || got == "" {
+		t.Errorf("%q is asked, though it has turned work away", got)
+	}
+}
+
+// A server that has started lately is none that drains: it must be among those that an unconfirmed list leaves.
+func TestUnconfirmedListLeavesStartedServers(t *testing.T) {
+	b := askingNode("a", "b")
+	b.Members(9*time.Second, Members{Change: ListDiff, Servers: []Server{{ID: "new1", Started: 9 * time.Second}, {ID: "new2", Started: 9 * time.Second}}}, nil)
+	b.Members(9*time.Second, Members{Change: ListFailed, Confirmed: 10 * time.Second}, nil)
+	if got := asked(b, 10*time.Second, 12*time.Second, serveAll); !slices.Equal(got, []string{"new1", "new2"}) {
+		t.Errorf("%v are asked, want those that have just started", got)
+	}
+}
+
+// pauses returns the waits that follow failures in a row.
+func pauses(b *Balancer, now time.Duration, m Members, n int) (waits []time.Duration) {
+	for range n {
+		for _, a := range b.Members(now, m, nil) {
+			if a.Kind == After {
+				waits = append(waits, a.Wait)
+			}
+		}
+		now += time.Minute
+	}
+	return waits
+}
+
+// Retries of a whole fleet would keep an overloaded discovery from recovering: pauses must grow well beyond the usual ones in
+// a large fleet, by less for calls that cost discovery nothing, and stay short for a node alone.
+func TestBackOffFromAnOverloadedDiscovery(t *testing.T) {
+	fleet := func(nodes int) *Balancer {
+		return New(Settings{Nodes: nodes, MustAsk: true, AskWithin: 10 * time.Second}, 1, 0)
+	}
+	slow := Members{Change: ListFailed, Overloaded: true, Took: 2 * time.Second}
+	turned := Members{Change: ListFailed, Overloaded: true}
+	waits := pauses(fleet(60), 0, slow, 8)
+	if waits[0] > 1250*ms || waits[2] < 2500*ms || waits[7] < 24*time.Second || waits[7] > 48*time.Second {
+		t.Errorf("60 nodes pause for %v", waits)
+	}
+	if other := pauses(fleet(60), 0, turned, 8); other[7] > waits[7]/2 {
+		t.Errorf("turned away at once, 60 nodes pause for %v, and after a wait for %v", other, waits)
+	}
+	if alone := pauses(fleet(1), 0, slow, 8); alone[7] > 1500*ms {
+		t.Errorf("one node alone pauses for %v", alone)
+	}
+}
+
+// One answer does not end an overload: the pause after the next failure must go on from a part of the last one, and answers
+// one after the other must end it.
+func TestBackOffIsForgottenByAnswers(t *testing.T) {
+	b := New(Settings{Nodes: 60, MustAsk: true, AskWithin: 10 * time.Second}, 1, 0)
+	slow := Members{Change: ListFailed, Overloaded: true, Took: 2 * time.Second}
+	pauses(b, 0, slow, 6)
+	b.Members(time.Hour, Members{Change: ListDiff}, nil)
+	if next := pauses(b, time.Hour, slow, 1); next[0] < 2500*ms {
+		t.Errorf("after one answer the next pause is %v", next[0])
+	}
+	for range 8 {
+		b.Members(time.Hour, Members{Change: ListDiff}, nil)
+	}
+	if next := pauses(b, time.Hour, slow, 1); next[0] > 1300*ms {
+		t.Errorf("after many answers the next pause is %v", next[0])
+	}
+}
--- /dev/null
+++ b/internal/servers/endpoints/confirm_test.go
@@ -0,0 +1,65 @@
+package endpoints
+
+import (
+	"testing"
+	"time"
+)
+
+// A failed call leaves the list confirmed for 6 s from the last answer, or from its own end if it was an open long poll; a
+// silent one until 2 s after its wait; a move of discovery for 4 s. Never longer: requests to drained servers would follow.
+func TestConfirmation(t *testing.T) {
+	const heard = 10 * time.Second
+	for name, c := range map[string]struct {
+		now     time.Duration
+		failure Failure
+		until   time.Duration
+	}{
+		"turned away at once":       {12 * time.Second, Failure{Reason: Overloaded}, 16 * time.Second},
+		"timed out in the queue":    {13 * time.Second, Failure{Reason: Overloaded, Took: 2 * time.Second, Wait: time.Minute}, 16 * time.Second},
+		"an open poll is reset":     {40 * time.Second, Failure{Reason: Unreachable, Took: 30 * time.Second, Wait: time.Minute}, 46 * time.Second},
+		"a silent poll":             {40300 * time.Millisecond, Failure{Reason: Silent, Took: 30300 * time.Millisecond, Wait: 30 * time.Second}, 42 * time.Second},
+		"no connection, much later": {50 * time.Second, Failure{Reason: Unreachable}, 16 * time.Second},
+	} {
+		confirmation := NewConfirmation(time.Second)
+		confirmation.Answered(heard)
+		if until := confirmation.Failed(c.now, c.failure); until != c.until {
+			t.Errorf("%s: confirmed until %v, want %v", name, until, c.until)
+		}
+	}
+	if until := NewConfirmation(time.Second).Failed(3*time.Second, Failure{Reason: Overloaded}); until != 7*time.Second {
+		t.Errorf("a new process: confirmed until %v, want 6 s from its start", until)
+	}
+	if until := NewConfirmation(0).Moved(time.Minute); until != 64*time.Second {
+		t.Errorf("after a move: confirmed until %v", until)
+	}
+}
+
+// While nothing fails the watch goes on at once after each answer. Overloaded calls bring pauses after changes, within the
+// time for which a node without a watch may go by its list, and answers take them back.
+func TestPaceFollowsOverload(t *testing.T) {
+	for _, askWithin := range []time.Duration{0, 2 * time.Second, 10 * time.Second, time.Minute} {
+		p := NewPace(askWithin, 1)
+		if pause := p.Answered(true); pause != 0 {
+			t.Fatalf("%v: with no failure it pauses for %v", askWithin, pause)
+		}
+		for range 6 {
+			p.Overloaded()
+		}
+		if pause := p.Answered(false); pause != 0 {
+			t.Errorf("%v: after an answer with no change it pauses for %v", askWithin, pause)
+		}
+		longest := time.Duration(0)
+		for range 3 {
+			longest = max(longest, p.Answered(true))
+		}
+		if longest < 200*time.Millisecond || longest > 7*time.Second || askWithin > 0 && longest > max(askWithin-callMargin, askWithin/2) {
+			t.Errorf("%v: the longest pause is %v", askWithin, longest)
+		}
+		for range 20 {
+			p.Answered(true)
+		}
+		if pause := p.Answered(true); pause != 0 {
+			t.Errorf("%v: after many answers it pauses for %v", askWithin, pause)
+		}
+	}
+}
