--- a/internal/node/discovery/watch.go
+++ b/internal/node/discovery/watch.go
@@ -23,6 +23,7 @@
 type watch struct {
 	*Discovery
 	on, wanted bool
+	resting    bool    // until the pause ends no call begins
 	since      *uint64 // the generation that this node has; nil: none
 	whole      bool    // the next call is for the whole list all the same
 	lost       bool    // the last call did not get through, or discovery is new
@@ -77,7 +78,7 @@
 		case <-ctx.Done():
 			return
 		case on := <-d.watch:
-			w.on, w.wanted = on, on
+			w.on, w.wanted = on && !w.resting, on
 			if !on {
 				w.newest = w.callOff(w.newest)
 				w.before = w.callOff(w.before)
@@ -95,7 +96,7 @@
 		case e := <-w.ended:
 			w.take(e)
 		case <-w.pause.C:
-			w.on = w.wanted
+			w.on, w.resting = w.wanted, false
 		case <-w.limit.C:
 			w.before = w.callOff(w.before)
 		}
@@ -155,11 +156,16 @@
 	w.on, w.lost = w.wanted, true // the new address has yet to prove itself
 	w.anew()
 	if wait := w.spread(); w.since != nil && wait > 0 {
-		w.on = false
-		w.pause.Reset(wait)
+		w.rest(wait)
 	}
 }
 
+// rest puts the next call off.
+func (w *watch) rest(pause time.Duration) {
+	w.on, w.resting = false, true
+	w.pause.Reset(pause)
+}
+
 // callOff ends a call, if there is one; nothing that it brings is taken any more.
 func (w *watch) callOff(p *poll) *poll {
 	if p != nil {
@@ -186,7 +192,7 @@
 		if e.err != nil {
 			return // the newer one tells whether discovery answers
 		}
-		w.on = w.wanted // the module hears that the watch goes on, whatever came of the newer one
+		w.on = w.wanted && !w.resting // the module hears that the watch goes on, whatever came of the newer one
 	case w.newest:
 		w.newest = nil
 		if e.err != nil {
@@ -199,8 +205,7 @@
 		w.lost = false
 		w.limit.Reset(overlap)
 		if pause := w.pace.Answered(len(e.list.Entries) > 0); pause > 0 {
-			w.on = false
-			w.pause.Reset(pause)
+			w.rest(pause)
 		}
 	default:
 		return // called off as it ended
@@ -224,10 +229,10 @@
 	if f.Reason == endpoints.Overloaded {
 		w.pace.Overloaded()
 	}
-	w.on = false
+	w.on, w.resting = false, false
 	w.pause.Stop()
 	if w.pushed {
-		w.pause.Reset(agentPause)
+		w.rest(agentPause)
 	}
 	w.report(Update{Failure: f})
 }
