Let nodes take turns when discovery is overloaded, in the place of pauses at random

Change: the node's own pace owns the pauses after overloaded calls, the module keeps those for lost ones as they were. A pause ends at the node's turn in a period of its length, by its number and the wall clock; periods double from 1.25 s to 48 s, by half a step for calls turned away at once. First calls at the start and after a move are spread by 100 ms a node, 4 s at most.

--- a/decide/api.go
+++ b/decide/api.go
@@ -163,9 +163,7 @@
 	There   int     // servers that there are likely to be, if this is a part of an old list; 0: those listed
 	Rate    float64 // answers a second that each server gave each node in the last life, if all shared it; 0: not known
 
-	Overloaded bool          // ListFailed: discovery is reachable, and has more calls than it can work through
-	Took       time.Duration // ListFailed: how long the call took
-	Confirmed  time.Duration // from then on a change that this node lacks may count as told; 0: not told, or never
+	Confirmed time.Duration // from then on a change that this node lacks may count as told; 0: not told, or never
 }
 
 // Outcomes is a set of results of attempts, one bit each.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -41,22 +41,17 @@
 	holdStep     = 10 * time.Millisecond  // wait before looking again for a server
 	askStep      = 250 * time.Millisecond // first wait before asking for the list again
 	askMost      = 3 * time.Second / 2    // the longest: what discovery has known for 6 s counts as told
-	askLoaded    = 5 * time.Second / 4    // first wait after a call that discovery had no capacity for, doubled with each ...
-	askQueued    = 300 * time.Millisecond // ... but those that ended sooner, turned away by a full queue at no cost ...
-	askTurned    = 0.5                    // ... of which so many count as one
-	askLongest   = 48 * time.Second
-	askANode     = time.Second     // no pause after such calls is longer than this, times the nodes of the tier
-	proofLasts   = 4 * time.Second // a server may take new work for 2 s after its drain was listed, 6 s before it counts
-	sizeSlack    = 1.0 / 16        // part by which a subset may be larger or smaller than its share
-	startSlack   = 32              // part of a ring (one in so many) by which its start may be off
-	spread       = 0.63224128846   // multiples of it spread evenly, every 2nd to 16th of them too
-	coldSafety   = 0.5             // part of the cold budget that is used at all, as chances ...
-	coldPooled   = 0.8             // ... and as whole sends that the nodes deal among themselves
-	rateMemory   = 5 * time.Second // how slowly the send rate is followed
-	lateGain     = 0.25            // weight of the newest response time of a server
-	lateMemory   = 2 * time.Second // after which a server's slowness is mostly forgotten
-	mostSpare    = 256             // calls kept to be used again
-	askToken     = 1 << 62         // timer that asks for the list; others carry a request's id
+	proofLasts   = 4 * time.Second        // a server may take new work for 2 s after its drain was listed, 6 s before it counts
+	sizeSlack    = 1.0 / 16               // part by which a subset may be larger or smaller than its share
+	startSlack   = 32                     // part of a ring (one in so many) by which its start may be off
+	spread       = 0.63224128846          // multiples of it spread evenly, every 2nd to 16th of them too
+	coldSafety   = 0.5                    // part of the cold budget that is used at all, as chances ...
+	coldPooled   = 0.8                    // ... and as whole sends that the nodes deal among themselves
+	rateMemory   = 5 * time.Second        // how slowly the send rate is followed
+	lateGain     = 0.25                   // weight of the newest response time of a server
+	lateMemory   = 2 * time.Second        // after which a server's slowness is mostly forgotten
+	mostSpare    = 256                    // calls kept to be used again
+	askToken     = 1 << 62                // timer that asks for the list; others carry a request's id
 )
 
 // fail counts a failure, and ejects after some in a row, each time for longer.
@@ -124,7 +119,7 @@
 	weight, sums float64 // mean weight of the members, and its sum
 	asking       bool
 	watching     bool
-	askTries     float64
+	askTries     int
 	heard        time.Duration   // when discovery last answered
 	unconfirmed  time.Duration   // from then on drains that this node was not told of may count as told; 0: never
 	longest      []time.Duration // largest TTL seen, by class
@@ -212,7 +207,7 @@
 func (b *Balancer) Members(now time.Duration, m Members, out []Action) []Action {
 	b.begin(now, out)
 	if b.set.MustAsk && m.Change != ListKept {
-		b.follow(&m)
+		b.follow(m.Change)
 	}
 	b.confirm(&m)
 	if m.Change == ListFailed {
@@ -352,23 +347,15 @@
 }
 
 // follow keeps a watch on a list that comes only when asked for, and asks again with back-off and jitter.
-func (b *Balancer) follow(m *Members) {
-	b.asking, b.watching = false, m.Change == ListDiff || m.Change == ListFull
+func (b *Balancer) follow(c Change) {
+	b.asking, b.watching = false, c == ListDiff || c == ListFull
+	wait := max(holdStep, min(askStep<<min(b.askTries, 8), askMost, b.set.AskWithin/2))
 	if b.watching {
-		b.askTries /= 2 // one answer does not end an overload
+		b.askTries = 0
 		return
 	}
-	wait := min(askStep<<min(int(b.askTries), 8), askMost, b.set.AskWithin/2)
-	step := 1.0
-	if m.Overloaded { // retries of a whole fleet would keep it from recovering
-		most := min(max(askMost, time.Duration(b.set.Nodes)*askANode), askLongest)
-		wait = min(time.Duration(math.Exp2(min(b.askTries, 8))*float64(askLoaded)), most)
-		if m.Took < askQueued {
-			step = askTurned
-		}
-	}
-	b.askTries += step
-	b.act(Action{Kind: After, Token: askToken, Wait: b.jitter(max(holdStep, wait))})
+	b.askTries++
+	b.act(Action{Kind: After, Token: askToken, Wait: b.jitter(wait)})
 }
 
 // confirm books until when the list is confirmed.
--- a/internal/node/discovery/discovery.go
+++ b/internal/node/discovery/discovery.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -80,7 +79,7 @@
 // New makes the calls of a node that stands there in its fleet.
 func New(address string, place endpoints.Place, log *slog.Logger, report func(Update)) *Discovery {
 	asking := endpoints.NewAsking(place.Nodes, callWait)
-	draw := rand.New(rand.NewPCG(place.Seed, 0x6d6f7665))
+	pace := endpoints.NewPace(place)
 	d := &Discovery{
 		log:    log,
 		watch:  make(chan bool, 1),
@@ -89,8 +88,8 @@
 		report: report,
 		pushed: place.Pushed,
 		poll:   endpoints.NewPollSchedule(place).Wait,
-		pace:   endpoints.NewPace(place.AskWithin, place.Seed),
-		spread: func() time.Duration { return asking.First(true, draw.Float64()) },
+		pace:   pace,
+		spread: func() time.Duration { return pace.Spread(asking.Spread()) },
 		queued: queued,
 		asking: asking,
 	}
--- a/internal/node/discovery/watch.go
+++ b/internal/node/discovery/watch.go
@@ -120,7 +120,7 @@
 	case p.whole:
 		call = func() (*endpoints.List, error) { return w.Discovery.whole(ctx, at.call, wholeWait) }
 	default:
-		wait, patience := w.poll(time.Duration(p.begun.UnixNano()), w.lost)
+		wait, patience := w.poll(wallClock(), w.lost)
 		p.wait = wait
 		query := fmt.Sprintf("?since=%d&timeout_ms=%d", *p.since, wait.Milliseconds())
 		call = func() (*endpoints.List, error) { return at.call(ctx, query, patience) }
@@ -204,7 +204,7 @@
 		}
 		w.lost = false
 		w.limit.Reset(overlap)
-		if pause := w.pace.Answered(len(e.list.Entries) > 0); pause > 0 {
+		if pause := w.pace.Answered(wallClock(), len(e.list.Entries) > 0); pause > 0 {
 			w.rest(pause)
 		}
 	default:
@@ -226,13 +226,16 @@
 		w.report(Update{Failure: f})
 		return
 	}
-	if f.Reason == endpoints.Overloaded {
-		w.pace.Overloaded()
-	}
 	w.on, w.resting = false, false
 	w.pause.Stop()
-	if w.pushed {
+	switch {
+	case w.pushed:
 		w.rest(agentPause)
+	case f.Reason == endpoints.Overloaded: // the module's own pause may end before
+		w.rest(w.pace.Overloaded(wallClock(), f.Took))
 	}
 	w.report(Update{Failure: f})
 }
+
+// wallClock is the time by which the nodes of a fleet take turns.
+func wallClock() time.Duration { return time.Duration(time.Now().UnixNano()) }
--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -60,8 +60,7 @@
 // unlisted takes a call to discovery that brought no list.
 func (l *loop) unlisted(f endpoints.Failure) {
 	m := decide.Members{
-		Change: decide.ListFailed, Overloaded: f.Reason == endpoints.Overloaded, Took: f.Took,
-		There: l.past.there(), Rate: l.past.rate(),
+		Change: decide.ListFailed, There: l.past.there(), Rate: l.past.rate(),
 	}
 	if f.Reason == endpoints.Silent { // the watch goes on by itself
 		m.Change = decide.ListKept
--- a/internal/servers/endpoints/asking.go
+++ b/internal/servers/endpoints/asking.go
@@ -19,8 +19,8 @@
 	mostSpread  = 2 * time.Second
 
 	// A node with a list asks for its changes later than one that has none, as each of these.
-	firstANode = 30 * time.Millisecond
-	mostFirst  = 5 * time.Second
+	firstANode = 100 * time.Millisecond
+	mostFirst  = 4 * time.Second
 	// A call that was given up in discovery's queue cost discovery its work all the same: the next waits longer, up to
 	// what a fleet of this size may have to wait. In a small one a network that swallows calls is found sooner.
 	patienceTimes = 2
@@ -134,15 +134,18 @@
 	return &Asking{nodes: nodes, least: least, most: max(patienceTimes*least, time.Duration(nodes)*mostANode), patience: least}
 }
 
-// First is how long a starting node waits before it discovery. One that has a list serves meanwhile, and leaves the
-// turn to those that have none.
-func (a *Asking) First(haveList bool, draw float64) time.Duration {
+// First is how long a starting node waits before it asks discovery, if its turn is after such a part of the time that the
+// fleet needs. One that has a list serves meanwhile, and leaves the turn to those that have none.
+func (a *Asking) First(haveList bool, turn float64) time.Duration {
 	if !haveList {
 		return 0
 	}
-	return time.Duration(draw * float64(min(time.Duration(a.nodes)*firstANode, mostFirst)))
+	return time.Duration(turn * float64(a.Spread()))
 }
 
+// Spread is the time over which the first calls of a fleet are spread.
+func (a *Asking) Spread() time.Duration { return min(time.Duration(a.nodes)*firstANode, mostFirst) }
+
 // Patience is how long a call may take: the more its kind was lost of late, the longer.
 func (a *Asking) Patience() time.Duration { return a.patience }
 
--- a/internal/servers/endpoints/pace.go
+++ b/internal/servers/endpoints/pace.go
@@ -1,48 +1,86 @@
 package endpoints
 
 import (
-	"math/rand/v2"
+	"math"
 	"time"
 )
 
 const (
+	// A call that discovery had no capacity for is followed by a pause, doubled by each further one.
+	backOffFirst = 1250 * time.Millisecond
+	backOffMost  = 48 * time.Second
+	// No pause is longer than this for each node of the tier: where there are few, the last calls of others are soon over.
+	backOffANode = 2 * time.Second
+	backOffLeast = 1500 * time.Millisecond
+	// A call that ended sooner than this was turned away by a full queue. It cost discovery nothing, and counts less.
+	queuedLeast = 300 * time.Millisecond
+	turnedAway  = 0.5
+
 	// Each change of the list costs discovery a call of every node that watches. While calls fail for want of capacity a
 	// node that was just told of changes pauses before it watches again, so that one call brings several.
 	pauseFirst = time.Second
 	pauseMost  = 7 * time.Second
 	// pauseStep is taken off the pause by each answer.
 	pauseStep = 500 * time.Millisecond
-	// Up to this part is taken off at random: all nodes are told of a change at once.
-	pauseJitter = 0.75
 	// callMargin is left of the time for which a node without a watch may go by its list, for the next call.
 	callMargin = 3 * time.Second
+
+	// A turn that comes sooner than this part of the pause is left out for the next.
+	turnSoonest = 0.25
 )
 
-// Pace controls a node's rate of calls to discovery by what becomes of them: the pause after an answer with changes
-// doubles with each call that discovery had no capacity for, and shrinks by a step with each answer.
+// Pace controls a node's rate of calls to discovery by what becomes of them, as the retries of a whole fleet would keep an
+// overloaded discovery from answering any. Pauses end at the node's turn in a period of their length, by its number and the
+// wall clock, so that calls of nodes that fail together, or are told of a change together, do not come together again.
 type Pace struct {
-	most  time.Duration
-	pause time.Duration
-	rng   *rand.Rand
+	turn     float64 // part of a period after which this node's turn is
+	failures float64 // calls in a row that discovery had no capacity for; an answer takes half of them back
+	most     time.Duration
+	pause    time.Duration // after an answer with changes
+	longest  time.Duration // that it may be
 }
 
-// NewPace returns the pace of a node that may go by its list for a time without asking; 0: not told.
-func NewPace(askWithin time.Duration, seed uint64) *Pace {
-	most := pauseMost
-	if askWithin > 0 {
-		most = min(most, max(askWithin-callMargin, askWithin/2))
+// NewPace returns the pace of a node that stands there in its fleet.
+func NewPace(p Place) *Pace {
+	longest := pauseMost
+	if p.AskWithin > 0 {
+		longest = min(longest, max(p.AskWithin-callMargin, p.AskWithin/2))
 	}
-	return &Pace{most: most, rng: rand.New(rand.NewPCG(seed, 0x70616365))}
+	most := min(max(backOffLeast, time.Duration(max(0, p.Nodes))*backOffANode), backOffMost)
+	return &Pace{turn: p.turn(), most: most, longest: longest}
 }
 
-// Overloaded takes a call that discovery had no capacity for.
-func (p *Pace) Overloaded() { p.pause = min(max(pauseFirst, 2*p.pause), p.most) }
+// Overloaded takes a call that discovery had no capacity for, and that took so long. It returns the pause before the next.
+func (p *Pace) Overloaded(wall, took time.Duration) (pause time.Duration) {
+	period := min(time.Duration(math.Exp2(min(p.failures, 8))*float64(backOffFirst)), p.most)
+	p.pause = min(max(pauseFirst, 2*p.pause), p.longest)
+	if took < queuedLeast {
+		p.failures += turnedAway
+	} else {
+		p.failures++
+	}
+	return p.until(wall, period)
+}
 
 // Answered takes an answer and returns the pause before the next call; 0: the watch goes on.
-func (p *Pace) Answered(changes bool) (pause time.Duration) {
-	if changes {
-		pause = p.pause - time.Duration(p.rng.Float64()*float64(p.pause)*pauseJitter)
+func (p *Pace) Answered(wall time.Duration, changes bool) (pause time.Duration) {
+	p.failures /= 2 // one answer does not end an overload
+	if changes && p.pause > 0 {
+		pause = min(p.until(wall, p.pause), p.longest)
 	}
 	p.pause = max(0, p.pause-pauseStep)
 	return pause
 }
+
+// Spread is the pause before a node's first call at an address to which all of the fleet come at once, of a time that the
+// fleet may need.
+func (p *Pace) Spread(all time.Duration) time.Duration { return time.Duration(p.turn * float64(all)) }
+
+// until is the time up to the node's next turn in a period, or the one after that if it is too near.
+func (p *Pace) until(wall, period time.Duration) time.Duration {
+	wait := (time.Duration(p.turn*float64(period)) - wall%period + period) % period
+	if wait < time.Duration(turnSoonest*float64(period)) {
+		wait += period
+	}
+	return wait
+}
--- /dev/null
+++ b/internal/servers/endpoints/pace_test.go
@@ -0,0 +1,107 @@
+package endpoints
+
+import (
+	"testing"
+	"time"
+)
+
+// overloads has a node meet overloaded calls in a row, and returns the pauses.
+func overloads(p *Pace, wall, took time.Duration, n int) (pauses []time.Duration) {
+	for range n {
+		pause := p.Overloaded(wall, took)
+		pauses = append(pauses, pause)
+		wall += pause + took
+	}
+	return pauses
+}
+
+// Retries of a whole fleet would keep an overloaded discovery from recovering: pauses must grow well beyond the usual ones
+// in a large fleet, by less for calls that cost discovery nothing, and stay short for a node alone.
+func TestPausesGrowWithOverload(t *testing.T) {
+	const slow = 2 * time.Second
+	for node := range 20 {
+		at := Place{Node: node, Nodes: 60}
+		pauses := overloads(NewPace(at), time.Hour, slow, 8)
+		if pauses[0] > 2*time.Second || pauses[7] < 12*time.Second || pauses[7] > 60*time.Second {
+			t.Errorf("of 60 nodes %d pauses for %v", node, pauses)
+		}
+		sum, sumTurned := time.Duration(0), time.Duration(0)
+		for i, pause := range overloads(NewPace(at), time.Hour, 0, 8) {
+			sum, sumTurned = sum+pauses[i], sumTurned+pause
+		}
+		if sumTurned > sum/2 {
+			t.Errorf("node %d: turned away at once it pauses for %v in all, after a wait for %v", node, sumTurned, sum)
+		}
+	}
+	for _, pause := range overloads(NewPace(Place{Nodes: 1, Seed: 7}), time.Hour, slow, 8) {
+		if pause > 2500*time.Millisecond {
+			t.Errorf("one node alone pauses for %v", pause)
+		}
+	}
+}
+
+// Nodes that fail together must not come together again: their next calls fall evenly into the pause, whatever their tiers.
+func TestPausesEndInTurn(t *testing.T) {
+	const slots = 5
+	var calls [slots]int
+	fleet := fleetOf(30, 70)
+	for _, at := range fleet {
+		p := NewPace(at)
+		overloads(p, time.Hour, 2*time.Second, 4)
+		const period = 20 * time.Second // the fifth
+		pause := p.Overloaded(2*time.Hour, 2*time.Second)
+		calls[int(pause%period*slots/period)]++
+	}
+	for slot, n := range calls {
+		if n < len(fleet)/slots/2 || n > 2*len(fleet)/slots {
+			t.Errorf("%d of %d calls fall into part %d of the pause: %v", n, len(fleet), slot, calls)
+		}
+	}
+}
+
+// One answer does not end an overload: the next pause goes on from a part of the last one, and several answers end it.
+func TestAnswersEndAnOverload(t *testing.T) {
+	p := NewPace(Place{Node: 3, Nodes: 60})
+	overloads(p, time.Hour, 2*time.Second, 6)
+	p.Answered(2*time.Hour, false)
+	if p.failures != 3 {
+		t.Errorf("after one answer %v of 6 failures count", p.failures)
+	}
+	for range 8 {
+		p.Answered(2*time.Hour, false)
+	}
+	if pause := p.Overloaded(3*time.Hour, 2*time.Second); pause > 2*time.Second {
+		t.Errorf("after many answers it pauses for %v", pause)
+	}
+}
+
+// While nothing fails the watch goes on at once after each answer. Overloaded calls bring pauses after changes, within the
+// time for which a node without a watch may go by its list, and answers take them back.
+func TestPausesAfterChanges(t *testing.T) {
+	for _, askWithin := range []time.Duration{0, 2 * time.Second, 10 * time.Second, time.Minute} {
+		p := NewPace(Place{Node: 5, Nodes: 60, AskWithin: askWithin})
+		wall := time.Hour
+		if pause := p.Answered(wall, true); pause != 0 {
+			t.Fatalf("%v: with no failure it pauses for %v", askWithin, pause)
+		}
+		overloads(p, wall, 2*time.Second, 6)
+		if pause := p.Answered(wall, false); pause != 0 {
+			t.Errorf("%v: after an answer with no change it pauses for %v", askWithin, pause)
+		}
+		longest := time.Duration(0)
+		for range 10 {
+			pause := p.Answered(wall, true)
+			longest = max(longest, pause)
+			wall += pause + time.Second
+		}
+		if longest < 400*time.Millisecond || longest > 7*time.Second || askWithin > 0 && longest > max(askWithin-callMargin, askWithin/2) {
+			t.Errorf("%v: the longest pause is %v", askWithin, longest)
+		}
+		for range 20 {
+			p.Answered(wall, true)
+		}
+		if pause := p.Answered(wall, true); pause != 0 {
+			t.Errorf("%v: after many answers it pauses for %v", askWithin, pause)
+		}
+	}
+}
--- a/internal/servers/endpoints/poll.go
+++ b/internal/servers/endpoints/poll.go
@@ -55,12 +55,17 @@
 func NewPollSchedule(p Place) *PollSchedule {
 	s := &PollSchedule{pushed: p.Pushed, rng: rand.New(rand.NewPCG(p.Seed, 0x706f6c6c))}
 	s.period = min(max(pollLeast, time.Duration(max(0, p.Nodes))*pollANode), pollMost)
-	_, at := math.Modf(float64(p.Node)*turnsApart + between(p.Tier))
+	s.phase = time.Duration(p.turn() * float64(s.period))
+	return s
+}
+
+// turn is the part of a period after which the node's turn is. One with no number, or alone, has it by chance.
+func (p Place) turn() float64 {
 	if p.Node < 0 || p.Nodes <= 1 {
-		at = s.rng.Float64()
+		return rand.New(rand.NewPCG(p.Seed, 0x7475726e)).Float64()
 	}
-	s.phase = time.Duration(at * float64(s.period))
-	return s
+	_, at := math.Modf(float64(p.Node)*turnsApart + between(p.Tier))
+	return at
 }
 
 // between is where the turns of a tier begin, halfway between those of the tiers before: van der Corput's sequence.
