--- a/decide/decide.go
+++ b/decide/decide.go
@@ -41,7 +41,7 @@
 	holdStep     = 10 * time.Millisecond  // wait before looking again for a server
 	askStep      = 250 * time.Millisecond // first wait before asking for the list again
 	askMost      = 3 * time.Second / 2    // the longest: what discovery has known for 6 s counts as told
-	proofLasts   = 4 * time.Second        // a server may take new work for 2 s after its drain was listed, 6 s before it counts
+	proofLasts   = 4 * time.Second        // a server may take work 2 s beyond the listing of its drain
 	sizeSlack    = 1.0 / 16               // part by which a subset may be larger or smaller than its share
 	startSlack   = 32                     // part of a ring (one in so many) by which its start may be off
 	spread       = 0.63224128846          // multiples of it spread evenly, every 2nd to 16th of them too
@@ -121,7 +121,7 @@
 	watching     bool
 	askTries     int
 	heard        time.Duration   // when discovery last answered
-	unconfirmed  time.Duration   // from then on drains that this node was not told of may count as told; 0: never
+	unconfirmed  time.Duration   // from then on unheard drains may count as told; 0: never
 	longest      []time.Duration // largest TTL seen, by class
 }
 
@@ -368,8 +368,8 @@
 	}
 }
 
-// unproven tells whether a drain of the server may count as told though this node has not heard of it: its list is not
-// confirmed, and the server has not taken new work of late.
+// unproven tells whether a drain of the server may count as told though this node has not heard of it: its
+// list is not confirmed, and the server has not taken new work of late.
 func (b *Balancer) unproven(s *server) bool {
 	return b.doubting() && b.now-s.proof() > proofLasts
 }
@@ -810,8 +810,8 @@
 	return near
 }
 
-// leastDoubtful is the server to send to where the list is not confirmed and none is proven: the one that was proven last,
-// of the subset if possible, and none that has turned work away since.
+// leastDoubtful is the server to send to where the list is not confirmed and none is proven: the one that
+// was proven last, of the subset if possible, and none that has turned work away since.
 func (b *Balancer) leastDoubtful(c *call) (best *server) {
 	if !b.doubting() {
 		return nil
@@ -921,8 +921,8 @@
 	return !(trust && n > 0 && c.attempts[n-1].server == s && others)
 }
 
-// allowed tells whether the rules let a server take a call: its key's group, a cold server's budget, and what may answer
-// at its address.
+// allowed tells whether the rules let a server take a call: its key's group, a cold server's budget, and
+// what may answer at its address.
 func (b *Balancer) allowed(c *call, s *server) bool {
 	return b.inGroup(c, s) && b.may(s) && !(s.Untried && b.set.Classes[c.Class].Effect == Once)
 }
