Have random play call requests off as often as meant, and play unconfirmed lists

The loop of decide's random play ended after its first round: a request was called off only if the lowest open one's number was divisible by 7. It goes on to the first such one now, so more are called off: stricter. Failed calls may leave the list unconfirmed from then or some seconds later on.

--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -29,14 +29,12 @@
 	nextID   uint64
 	sends    map[string][]time.Duration // to cold servers
 	bounds   []Bounds
-	log      strings.Builder
 	broken   bool // the rules are broken on purpose
 }
 
 type listed struct {
 	Server
-	gone   bool
-	stopAt time.Duration // told that nothing new may be sent
+	gone bool
 }
 
 type owed struct {
@@ -45,7 +43,6 @@
 	came     time.Duration
 	deadline time.Duration
 	sent     []try
-	ended    bool // the node was told of its end
 }
 
 type try struct {
@@ -240,14 +237,14 @@
 	case p >= 990 && p < 992:
 		w.route()
 	case p < 210 && w.set.MustAsk:
-		w.members(Members{Change: ListFailed, Servers: nil})
+		w.members(Members{Change: ListFailed, Confirmed: time.Duration(w.rng.IntN(2)) * (w.now + time.Duration(w.rng.IntN(6000))*ms)})
 	case p < 215:
 		for _, id := range slices.Sorted(maps.Keys(w.open)) {
 			if id%7 == 0 {
 				delete(w.open, id)
 				w.take(w.balancer.Gone(w.now, Gone{id}, w.buf[:0]))
+				break
 			}
-			break
 		}
 	case p < 217: // events for what is not held
 		w.take(w.balancer.Gone(w.now, Gone{1 << 40}, w.buf[:0]))
