Give each node of a tier its turn at the first failures, and double pauses from the third on

Change: the first two pauses after overloaded calls give each node of the tier a turn of 190 ms, 1.25 to 5 s in all.

--- a/internal/servers/endpoints/pace.go
+++ b/internal/servers/endpoints/pace.go
@@ -6,8 +6,12 @@
 )
 
 const (
-	// A call that discovery had no capacity for is followed by a pause, doubled by each further one.
+	// A call that discovery had no capacity for is followed by a pause. The first ones give each node of the tier a turn of
+	// its own, and leave time for a call before what discovery has counts as told; each further one doubles the pause.
+	backOffTurn  = 190 * time.Millisecond
 	backOffFirst = 1250 * time.Millisecond
+	backOffSoon  = 5 * time.Second
+	backOffHeld  = 1 // pauses beyond the first that are not doubled
 	backOffMost  = 48 * time.Second
 	// No pause is longer than this for each node of the tier: where there are few, the last calls of others are soon over.
 	backOffANode = 2 * time.Second
@@ -33,9 +37,10 @@
 // overloaded discovery from answering any. Pauses end at the node's turn in a period of their length, by its number and the
 // wall clock, so that calls of nodes that fail together, or are told of a change together, do not come together again.
 type Pace struct {
-	turn     float64 // part of a period after which this node's turn is
-	failures float64 // calls in a row that discovery had no capacity for; an answer takes half of them back
-	most     time.Duration
+	turn     float64       // part of a period after which this node's turn is
+	failures float64       // calls in a row that discovery had no capacity for; an answer takes half of them back
+	first    time.Duration // pause after an overloaded call ...
+	most     time.Duration // ... and at the most
 	pause    time.Duration // after an answer with changes
 	longest  time.Duration // that it may be
 }
@@ -47,12 +52,14 @@
 		longest = min(longest, max(p.AskWithin-callMargin, p.AskWithin/2))
 	}
 	most := min(max(backOffLeast, time.Duration(max(0, p.Nodes))*backOffANode), backOffMost)
-	return &Pace{turn: p.turn(), most: most, longest: longest}
+	first := min(max(backOffFirst, time.Duration(p.Nodes)*backOffTurn), backOffSoon)
+	return &Pace{turn: p.turn(), first: first, most: max(first, most), longest: longest}
 }
 
 // Overloaded takes a call that discovery had no capacity for, and that took so long. It returns the pause before the next.
 func (p *Pace) Overloaded(wall, took time.Duration) (pause time.Duration) {
-	period := min(time.Duration(math.Exp2(min(p.failures, 8))*float64(backOffFirst)), p.most)
+	doublings := min(max(0, p.failures-backOffHeld), 8)
+	period := min(time.Duration(math.Exp2(doublings)*float64(p.first)), p.most)
 	p.pause = min(max(pauseFirst, 2*p.pause), p.longest)
 	if took < queuedLeast {
 		p.failures += turnedAway
