Ask nothing early once the call that was out has ended

An early question that waits for the call that is out to leave discovery's queue was asked beside the next long poll, though the first one's answer had brought what it was for. Found by reading; the new test fails without the change.

--- a/internal/node/discovery/overload_test.go
+++ b/internal/node/discovery/overload_test.go
@@ -26,6 +26,28 @@
 	}
 }
 
+// The end of the call that was in the queue answers the early question: no further call may go out for it.
+func TestAnAnswerEndsAnEarlyQuestion(t *testing.T) {
+	s := newHeldServer(t)
+	lists := make(chan *endpoints.List, 10)
+	d := New(s.address, place(), Quiet(), listsTo(lists))
+	d.queued = 200 * time.Millisecond
+	stop := running(t, d, 3)
+	defer stop()
+	d.SetWatch(true)
+	first := s.call(t)
+	d.Renew(false)
+	first.write(t, ListOf(4, false, "127.0.0.1:1 DRAINING"))
+	first.write(t, "")
+	<-lists
+	s.call(t) // the watch goes on
+	select {
+	case c := <-s.calls:
+		t.Errorf("a further call %q", c.query)
+	case <-time.After(3 * d.queued):
+	}
+}
+
 // All nodes move with discovery at once. Each must wait for a part of the time that the fleet needs, while what the old
 // address still writes counts.
 func TestMovesAreSpread(t *testing.T) {
--- a/internal/node/discovery/watch.go
+++ b/internal/node/discovery/watch.go
@@ -195,6 +195,7 @@
 		w.on = w.wanted && !w.resting // the module hears that the watch goes on, whatever came of the newer one
 	case w.newest:
 		w.newest = nil
+		w.again.Stop() // whatever it was that should be asked early, it has been
 		if e.err != nil {
 			if !w.pushed || !w.lost { // an agent is silent while discovery is down: told once
 				w.log.Warn("the watch failed", "err", e.err)
