Go on with the watch at once after each answer, also while discovery is overloaded

What changes within 200 ms after an answer counts as told at once (PROTOCOL, a watch goes on as long as the next call comes within 200 ms). Fault: the pause after an answer with changes in watch.take.

Change: no pause after answers. An answer on the old address after a move also makes the next call at once.

--- a/internal/node/discovery/watch.go
+++ b/internal/node/discovery/watch.go
@@ -192,7 +192,8 @@
 		if e.err != nil {
 			return // the newer one tells whether discovery answers
 		}
-		w.on = w.wanted && !w.resting // the module hears that the watch goes on, whatever came of the newer one
+		// The module hears that the watch goes on, whatever came of the newer one; and what changes now counts as told.
+		w.on = w.wanted
 	case w.newest:
 		w.newest = nil
 		w.again.Stop() // whatever it was that should be asked early, it has been
@@ -205,9 +206,7 @@
 		}
 		w.lost = false
 		w.limit.Reset(overlap)
-		if pause := w.pace.Answered(wallClock(), len(e.list.Entries) > 0); pause > 0 {
-			w.rest(pause)
-		}
+		w.pace.Answered()
 	default:
 		return // called off as it ended
 	}
--- a/internal/servers/endpoints/pace.go
+++ b/internal/servers/endpoints/pace.go
@@ -20,47 +20,34 @@
 	queuedLeast = 300 * time.Millisecond
 	turnedAway  = 0.5
 
-	// Each change of the list costs discovery a call of every node that watches. While calls fail for want of capacity a
-	// node that was just told of changes pauses before it watches again, so that one call brings several.
-	pauseFirst = time.Second
-	pauseMost  = 7 * time.Second
-	// pauseStep is taken off the pause by each answer.
-	pauseStep = 500 * time.Millisecond
-	// callMargin is left of the time for which a node without a watch may go by its list, for the next call.
-	callMargin = 3 * time.Second
-
 	// A turn that comes sooner than this part of the pause is left out for the next.
 	turnSoonest = 0.25
 )
 
 // Pace controls a node's rate of calls to discovery by what becomes of them, as the retries of a whole fleet would keep an
 // overloaded discovery from answering any. Pauses end at the node's turn in a period of their length, by its number and the
-// wall clock, so that calls of nodes that fail together, or are told of a change together, do not come together again.
+// wall clock, so that calls of nodes that fail together do not come together again.
+//
+// An answer is followed by the next long poll at once, however busy discovery is: what changes in the 200 ms after an answer
+// counts as told.
 type Pace struct {
 	turn     float64       // part of a period after which this node's turn is
 	failures float64       // calls in a row that discovery had no capacity for; an answer takes half of them back
 	first    time.Duration // pause after an overloaded call ...
 	most     time.Duration // ... and at the most
-	pause    time.Duration // after an answer with changes
-	longest  time.Duration // that it may be
 }
 
 // NewPace returns the pace of a node that stands there in its fleet.
 func NewPace(p Place) *Pace {
-	longest := pauseMost
-	if p.AskWithin > 0 {
-		longest = min(longest, max(p.AskWithin-callMargin, p.AskWithin/2))
-	}
 	most := min(max(backOffLeast, time.Duration(max(0, p.Nodes))*backOffANode), backOffMost)
 	first := min(max(backOffFirst, time.Duration(p.Nodes)*backOffTurn), backOffSoon)
-	return &Pace{turn: p.turn(), first: first, most: max(first, most), longest: longest}
+	return &Pace{turn: p.turn(), first: first, most: max(first, most)}
 }
 
 // Overloaded takes a call that discovery had no capacity for, and that took so long. It returns the pause before the next.
 func (p *Pace) Overloaded(wall, took time.Duration) (pause time.Duration) {
 	doublings := min(max(0, p.failures-backOffHeld), 8)
 	period := min(time.Duration(math.Exp2(doublings)*float64(p.first)), p.most)
-	p.pause = min(max(pauseFirst, 2*p.pause), p.longest)
 	if took < queuedLeast {
 		p.failures += turnedAway
 	} else {
@@ -69,15 +56,8 @@
 	return p.until(wall, period)
 }
 
-// Answered takes an answer and returns the pause before the next call; 0: the watch goes on.
-func (p *Pace) Answered(wall time.Duration, changes bool) (pause time.Duration) {
-	p.failures /= 2 // one answer does not end an overload
-	if changes && p.pause > 0 {
-		pause = min(p.until(wall, p.pause), p.longest)
-	}
-	p.pause = max(0, p.pause-pauseStep)
-	return pause
-}
+// Answered takes an answer. One does not end an overload.
+func (p *Pace) Answered() { p.failures /= 2 }
 
 // Spread is the pause before a node's first call at an address to which all of the fleet come at once, of a time that the
 // fleet may need.
--- a/internal/servers/endpoints/poll.go
+++ b/internal/servers/endpoints/poll.go
@@ -36,8 +36,7 @@
 type Place struct {
 	Node, Nodes int // its number in its tier; under 0: unknown
 	Tier        int
-	Pushed      bool          // lists come from an agent beside it, at no cost
-	AskWithin   time.Duration // how long a node without a watch may go by its list; 0: not told
+	Pushed      bool // lists come from an agent beside it, at no cost
 	Seed        uint64
 }
 
