Drop what nothing reads in the stand-ins, found by staticcheck

An unused counter, a slice that was only appended to, a constant named after a unit. No behaviour changed; standin's and the virtual fleets' tests pass.

--- a/internal/rig/standin/callers.go
+++ b/internal/rig/standin/callers.go
@@ -49,7 +49,6 @@
 	classes []ClassReport
 	out     atomic.Int64
 	asked   atomic.Int64
-	answers atomic.Int64
 	seen    [6]atomic.Int64 // tries by judge.Ending
 }
 
--- a/internal/rig/standin/standin_test.go
+++ b/internal/rig/standin/standin_test.go
@@ -367,7 +367,6 @@
 	plan.MostConn = 3
 	f := start(t, plan)
 	b := f.Boxes[0]
-	var conns []net.Conn
 	for range 5 {
 		c, err := net.Dial("tcp", b.Address)
 		if errors.Is(err, syscall.ECONNRESET) {
@@ -376,8 +375,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		defer c.Close()
-		conns = append(conns, c)
+		defer c.Close() // they stay open until the test has ended
 	}
 	waitFor(t, "two are turned back", func() bool { return b.State().Refused == 2 && b.State().Conns == 3 })
 }
--- a/internal/rig/virtual/registry_hard_test.go
+++ b/internal/rig/virtual/registry_hard_test.go
@@ -16,7 +16,7 @@
 	fastRegistry        = 4 * time.Second
 	// recoveredShare is the least share of the calls of a day's last seconds that must be answered.
 	recoveredShare = 0.95
-	lastSeconds    = 5 * time.Second
+	lastPart       = 5 * time.Second
 	// toldInTime is the time for a call of each node within which all changes must be told in time as well.
 	toldInTime = 2 * time.Second
 )
@@ -65,7 +65,7 @@
 		row.lateNodes += x.lateNodes / float64(seeds)
 		all := x.between(0, d.length)
 		row.calls += float64(all.calls) / d.length.Seconds() / float64(seeds)
-		last := x.between(d.length-lastSeconds, d.length)
+		last := x.between(d.length-lastPart, d.length)
 		row.answered = min(row.answered, last.answeredShare())
 		row.quiet = max(row.quiet, x.quietAfter(d.disturbed))
 		row.reached, row.newest = max(row.reached, x.reached), max(row.newest, x.newest)
