Have rogue nodes break their rule again while the judge excuses a busy machine

The judge and its bounds are as they were: the breach must still be found, from outside, within 20 s.

--- a/internal/rig/standin/standin_test.go
+++ b/internal/rig/standin/standin_test.go
@@ -259,7 +259,15 @@
 				return slices.ContainsFunc(v.Breaches, func(b judge.Breach) bool { return b.Rule == c.rule })
 			}
 			if c.rule > 0 {
-				waitFor(t, fmt.Sprintf("rule %d is found broken", c.rule), broken)
+				// The judge excuses what the machine's own delay may have caused, so a rogue that stands near its limit
+				// breaks the rule again until the machine is in time.
+				waitFor(t, fmt.Sprintf("rule %d is found broken", c.rule), func() bool {
+					if broken() {
+						return true
+					}
+					n.ask(c.class, 600*ms)
+					return broken()
+				})
 			} else if broken(); len(v.Breaches) > 0 {
 				t.Errorf("found %v\n%s", v.Breaches, strings.Join(v.Breaches[0].History, "\n"))
 			}
