Let budgets pass through the 22 tiers of the planned fleet

A budget header held 16 nodes and 512 bytes; from the 17th node on it was as none at all, so that each further tier had all attempts again. Found by the scale report (22 nodes of 16 bytes: not taken). Now 32 nodes and 1,280 bytes, which hold a full path of the longest names. A node of an older version goes on taking longer ones for none.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -7,8 +7,8 @@
 
 // Bounds of what a header may say.
 const (
-	MostHeader = 512              // bytes
-	MostHops   = 16               // nodes on a path
+	MostHeader = 1280             // bytes: a full path of the longest names, and all other fields
+	MostHops   = 32               // nodes on a path: the planned fleet has calls through 22
 	MostName   = 32               // bytes of a node's name
 	MostExtra  = 15               // further attempts
 	MostTime   = 10 * time.Minute // longer waits are taken for nonsense
