Report what a fleet's control costs by slopes from four sizes: curlewctl scale report

Need: the plan of 5,400 nodes in 590 services is to be compared with measured costs. internal/rig/scale plays membership in virtual time, weighs views and lists of servers, times changes and decisions, and has long polls come back to a registry of fixed capacity; a fit with its residual says what follows at the planned size, and from which size on an allowance is broken.

--- a/cmd/curlewctl/main.go
+++ b/cmd/curlewctl/main.go
@@ -26,6 +26,7 @@
 	Recall  recallCommand  `cmd:"" help:"Look into what a node keeps over its restarts."`
 	Members membersCommand `cmd:"" help:"Show what a node knows of the others. Exit code 0, 1 if a member is silent or the node is in no view, 2 if it does not answer."`
 	Lease   leaseCommand   `cmd:"" help:"Do things under the leases of the fleet, and look after them."`
+	Scale   scaleCommand   `cmd:"" help:"Measure what the control of a fleet costs as it grows."`
 	Idlers  idlersCommand  `cmd:"" hidden:"" help:"Hold idle connections for the lab."`
 	Act     actCommand     `cmd:"" hidden:"" help:"Act at a stand-in resource, for the lab."`
 	Forward forwardCommand `cmd:"" hidden:"" help:"Forward plainly: the lab's control."`
--- /dev/null
+++ b/internal/rig/scale/report.go
@@ -0,0 +1,330 @@
+package scale
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"time"
+)
+
+// Unit is what a figure is counted in.
+type Unit int
+
+// The units.
+const (
+	Bytes Unit = iota
+	BytesPerSecond
+	PerSecond
+	Core
+	Seconds
+)
+
+// format writes a figure with its unit.
+func (u Unit) format(value float64) string {
+	switch u {
+	case Bytes, BytesPerSecond:
+		text := formatBytes(value)
+		if u == BytesPerSecond {
+			text += "/s"
+		}
+		return text
+	case PerSecond:
+		return fmt.Sprintf("%.3g/s", value)
+	case Core:
+		return fmt.Sprintf("%.2f%% of a core", 100*value)
+	default:
+		return time.Duration(value * float64(time.Second)).Round(100 * time.Nanosecond).String()
+	}
+}
+
+func formatBytes(value float64) string {
+	switch {
+	case value >= 1<<20:
+		return fmt.Sprintf("%.1f MB", value/(1<<20))
+	case value >= 1<<10:
+		return fmt.Sprintf("%.1f kB", value/(1<<10))
+	default:
+		return fmt.Sprintf("%.0f B", value)
+	}
+}
+
+// Figure is one cost of one role, measured at several sizes.
+type Figure struct {
+	Role      string
+	Name      string
+	Mechanism string // what carries it
+	Unit      Unit
+	Allowed   float64 // at the planned size; 0: nothing is said
+	Samples   []Sample
+}
+
+// Verdict is what a figure means for the plan.
+type Verdict string
+
+// The verdicts.
+const (
+	Holds      Verdict = "holds"
+	DoesNot    Verdict = "does not hold"
+	NotLimited Verdict = "no limit is stated"
+)
+
+// Judge compares what the fit gives at the planned size with what is allowed there.
+func (f *Figure) Judge(plan Plan) (fit Fit, planned float64, verdict Verdict) {
+	fit = NewFit(f.Samples)
+	planned = fit.At(plan.Nodes)
+	if largest := f.Samples[len(f.Samples)-1]; largest.Size == plan.Nodes {
+		planned = largest.Value // measured, not extrapolated
+	}
+	switch {
+	case f.Allowed == 0:
+		verdict = NotLimited
+	case planned <= f.Allowed:
+		verdict = Holds
+	default:
+		verdict = DoesNot
+	}
+	return fit, planned, verdict
+}
+
+// Report is all figures of one run.
+type Report struct {
+	Plan    Plan
+	Figures []Figure
+	Missing []Missing
+	Path    []PathRow
+}
+
+// Missing is a requirement that no run answers.
+type Missing struct {
+	Requirement string
+	Verdict     string
+	Reason      string
+}
+
+// PathRow is whether the budget header of a long path is taken.
+type PathRow struct {
+	Hops      int
+	NameBytes int
+	Length    int
+	Err       error
+}
+
+// Sizes are the fleets that a report measures, in increasing order.
+type Sizes struct {
+	Membership []int // whole fleets in virtual time
+	State      []int // fleets of which each node holds its own view
+	Servers    []int // lists
+	Discovery  []int // watchers
+}
+
+// MostNodes bounds the sizes of a report.
+const MostNodes = 20_000
+
+// SizeError is a size that a report can't measure.
+type SizeError struct {
+	Key         string
+	Value       int
+	Least, Most int
+}
+
+func (e *SizeError) Error() string {
+	return fmt.Sprintf("%s: %d is not allowed, %d to %d are, growing, four at the least", e.Key, e.Value, e.Least, e.Most)
+}
+
+// leastSizes is how many sizes a slope needs.
+const leastSizes = 4
+
+// Validate tells what is wrong with the sizes.
+func (s *Sizes) Validate(zones int) error {
+	for _, list := range []struct {
+		key   string
+		sizes []int
+	}{{"membership", s.Membership}, {"state", s.State}, {"servers", s.Servers}, {"discovery", s.Discovery}} {
+		if len(list.sizes) < leastSizes {
+			return &SizeError{list.key + " (number of sizes)", len(list.sizes), leastSizes, MostNodes}
+		}
+		before := 2*zones - 1 // two in each zone
+		for _, size := range list.sizes {
+			if size <= before || size > MostNodes {
+				return &SizeError{list.key, size, before + 1, MostNodes}
+			}
+			before = size
+		}
+	}
+	return nil
+}
+
+// Run measures all figures. Progress is told a line for each size.
+func Run(plan Plan, sizes Sizes, seed uint64, progress func(string)) (*Report, error) {
+	if err := sizes.Validate(plan.Zones); err != nil {
+		return nil, err
+	}
+	r := &Report{Plan: plan, Missing: missing(plan)}
+	if err := r.membership(sizes, seed, progress); err != nil {
+		return nil, err
+	}
+	if err := r.servers(sizes, progress); err != nil {
+		return nil, err
+	}
+	r.discovery(sizes, progress)
+	for _, hops := range []int{4, 8, 16, plan.Hops} {
+		const nameBytes = 16
+		length, err := PathHeader(hops, nameBytes)
+		r.Path = append(r.Path, PathRow{hops, nameBytes, length, err})
+	}
+	return r, nil
+}
+
+func (r *Report) membership(sizes Sizes, seed uint64, progress func(string)) error {
+	control := r.Plan.Control
+	const mechanism = "`fleet/membership`: each node watches ten others and is told of changes by rumour"
+	figures := []Figure{
+		{Name: "sent at rest", Unit: BytesPerSecond, Allowed: control.BytesPerSecond},
+		{Name: "messages sent at rest", Unit: PerSecond},
+		{Name: "processor time at rest", Unit: Core, Allowed: control.Core},
+		{Name: "sent in the 10 s after a zone is lost", Unit: BytesPerSecond, Allowed: control.BytesPerSecond},
+		{Name: "sent in the 10 s after it is back", Unit: BytesPerSecond, Allowed: control.BytesPerSecond},
+		{Name: "all started at once, until all agree", Unit: Seconds},
+		{Name: "a crash, until all know", Unit: Seconds},
+		{Name: "a zone lost, until all know (10 s at the least)", Unit: Seconds},
+	}
+	for _, size := range sizes.Membership {
+		progress(fmt.Sprintf("membership of %d nodes", size))
+		c, err := MeasureMembership(size, r.Plan.Zones, seed)
+		if err != nil {
+			return err
+		}
+		for i, value := range []float64{
+			c.RestBytes, c.RestMessages, c.RestCore, c.LostBytes, c.ReturnedBytes,
+			c.Agreed.Seconds(), c.CrashTold.Seconds(), c.ZoneTold.Seconds(),
+		} {
+			figures[i].Samples = append(figures[i].Samples, Sample{size, value})
+		}
+	}
+	state := Figure{Name: "memory of a node's view and its watch on others", Unit: Bytes, Allowed: float64(control.Memory)}
+	for _, size := range sizes.State {
+		progress(fmt.Sprintf("state of %d members", size))
+		held, err := MeasureMembershipState(size, seed)
+		if err != nil {
+			return err
+		}
+		state.Samples = append(state.Samples, Sample{size, held})
+	}
+	for _, f := range append(figures, state) {
+		f.Role, f.Mechanism = "member", mechanism
+		r.Figures = append(r.Figures, f)
+	}
+	return nil
+}
+
+func (r *Report) servers(sizes Sizes, progress func(string)) error {
+	figures := []Figure{
+		{Name: "a whole answer of discovery", Unit: Bytes},
+		{Name: "memory of the view and the module", Unit: Bytes, Allowed: float64(r.Plan.Control.Memory)},
+		{Name: "reading a whole answer", Unit: Seconds},
+		{Name: "one change, from the answer to the module", Unit: Seconds},
+		{Name: "one decision", Unit: Seconds, Allowed: r.Plan.AddedLatency.Seconds()},
+	}
+	for _, size := range sizes.Servers {
+		progress(fmt.Sprintf("a list of %d servers", size))
+		c, err := MeasureServers(size)
+		if err != nil {
+			return err
+		}
+		for i, value := range []float64{c.ListBytes, c.Heap, c.Parse.Seconds(), c.Change.Seconds(), c.Decision.Seconds()} {
+			figures[i].Samples = append(figures[i].Samples, Sample{size, value})
+		}
+	}
+	for _, f := range figures {
+		f.Role, f.Mechanism = "watcher of one service", "`servers/endpoints` and `decide`: each node holds the whole list of the service, and sends to a subset"
+		r.Figures = append(r.Figures, f)
+	}
+	return nil
+}
+
+func (r *Report) discovery(sizes Sizes, progress func(string)) {
+	f := Figure{
+		Role: "watcher of one service", Name: "one change, until all watch again, 165 calls a second", Unit: Seconds,
+		Mechanism: "`endpoints.Pace`: each node calls discovery once for each change of a list that it watches",
+		Allowed:   r.Plan.ConfiguredAfter.Seconds(),
+	}
+	for _, size := range sizes.Discovery {
+		progress(fmt.Sprintf("%d watchers", size))
+		f.Samples = append(f.Samples, Sample{size, MeasureWatchersBack(size, TodaysDiscovery()).Seconds()})
+	}
+	r.Figures = append(r.Figures, f)
+}
+
+// missing are the requirements of the plan that no run of this package answers.
+func missing(plan Plan) []Missing {
+	return []Missing{
+		{
+			fmt.Sprintf("%d changes of configuration a day, in force everywhere within %v", plan.Configurations, plan.ConfiguredAfter),
+			"does not hold", "nothing distributes configuration: files and SIGHUP, node by node",
+		},
+		{
+			fmt.Sprintf("%d regions lose each other for an hour", plan.Regions),
+			"not known", "membership is one view that wants a majority: a region apart is a minority; not played at this size",
+		},
+		{"7 machines for control: load of a voter and of its leader", "not known", "`rig/leases` counts no bytes"},
+		{
+			fmt.Sprintf("%v added to a call for 99 in 100, under 100 calls a second", plan.AddedLatency),
+			"not known", "the decision's own part is above; the rest of a hop is not measured against a direct call",
+		},
+		{fmt.Sprintf("subsets of %d services of very different sizes", plan.Services), "not known", "played for one service only"},
+		{"clocks that differ", "not known", "turns fall by chance then; not played at this size"},
+	}
+}
+
+// Write prints the report as Markdown.
+func (r *Report) Write(w io.Writer) error {
+	var b strings.Builder
+	b.WriteString("| role | figure | samples (size: value) | grows | residual | at the planned size | extrapolated | allowed | verdict | breaks at |\n")
+	b.WriteString("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n")
+	for i := range r.Figures {
+		r.Figures[i].write(&b, r.Plan)
+	}
+	b.WriteString("\nMechanisms:\n\n")
+	told := map[string]bool{}
+	for _, f := range r.Figures {
+		if line := fmt.Sprintf("- %s: %s.\n", f.Role, f.Mechanism); !told[line] {
+			told[line] = true
+			b.WriteString(line)
+		}
+	}
+	b.WriteString("\n| nodes on a path | bytes of each name | bytes of the budget header | taken by the next node |\n| --- | --- | --- | --- |\n")
+	for _, p := range r.Path {
+		taken := "yes"
+		if p.Err != nil {
+			taken = "no: " + p.Err.Error()
+		}
+		fmt.Fprintf(&b, "| %d | %d | %d | %s |\n", p.Hops, p.NameBytes, p.Length, taken)
+	}
+	b.WriteString("\n| requirement | verdict | why |\n| --- | --- | --- |\n")
+	for _, m := range r.Missing {
+		fmt.Fprintf(&b, "| %s | %s | %s |\n", m.Requirement, m.Verdict, m.Reason)
+	}
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+func (f *Figure) write(b *strings.Builder, plan Plan) {
+	fit, planned, verdict := f.Judge(plan)
+	samples := make([]string, len(f.Samples))
+	for i, s := range f.Samples {
+		samples[i] = fmt.Sprintf("%d: %s", s.Size, f.Unit.format(s.Value))
+	}
+	extrapolated := "no"
+	if times := float64(plan.Nodes) / float64(fit.Largest); times > 1 {
+		extrapolated = fmt.Sprintf("%.1f times", times)
+	}
+	allowed, breaks := "-", "-"
+	if f.Allowed > 0 {
+		allowed = f.Unit.format(f.Allowed)
+		if at := fit.Breaks(f.Allowed); at > 0 {
+			breaks = fmt.Sprint(at)
+		}
+	}
+	fmt.Fprintf(b, "| %s | %s | %s | %s | %.0f%% | %s | %s | %s | %s | %s |\n", f.Role, f.Name, strings.Join(samples, ", "), fit.Growth,
+		100*fit.Residual, f.Unit.format(planned), extrapolated, allowed, verdict, breaks)
+}
