Bring long polls that were reset together back to discovery in turn

A probe of each call: all polls are reset at 0.87 s, 8 nodes call within 0.5 s, and from 2.8 to 15.7 s none is answered: each call costs discovery 1 s, times out after 2 s in its queue and is followed by the next 0.5 to 2.5 s later, 2.4 calls a second for 1 that can be worked off. Change: a reset of an open poll is a reason of its own. The next poll waits for the node's turn in 4 s, and is a long one, as the network has just delivered. A small fleet's first pauses go by the time for which a call waited in the queue (5 s at the most, as in large fleets), and the longest are 16 s at the least where there is more than one node.

--- a/internal/node/discovery/discovery.go
+++ b/internal/node/discovery/discovery.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"curlewring/internal/servers/endpoints"
@@ -23,6 +24,7 @@
 	wholeWait    = 3 * time.Second
 	agentWhole   = 350 * time.Millisecond // the same of an agent, which answers at once
 	agentPause   = 50 * time.Millisecond  // between two calls of an agent that fail
+	openLeast    = 500 * time.Millisecond // a connection that ends sooner may never have reached discovery
 	mostListSize = 4 << 20                // a list of 5400 servers takes 0.9 MB, indented 1.3 MB, with long names 3 MB
 	mostListHead = 64 << 10
 )
@@ -195,12 +197,20 @@
 func failure(err error, took, wait time.Duration) endpoints.Failure {
 	f := endpoints.Failure{Took: took, Wait: wait}
 	var status statusError
-	if errors.As(err, &status) {
+	switch {
+	case errors.As(err, &status):
 		f.Reason = endpoints.Overloaded
+	case took >= openLeast && connectionEnded(err):
+		f.Reason = endpoints.Reset
 	}
 	return f
 }
 
+// connectionEnded tells whether the other side has ended the connection under a call.
+func connectionEnded(err error) bool {
+	return errors.Is(err, syscall.ECONNRESET) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
+}
+
 // asks makes one call.
 type asks func(ctx context.Context, query string, wait time.Duration) (*endpoints.List, error)
 
--- a/internal/node/discovery/overload_test.go
+++ b/internal/node/discovery/overload_test.go
@@ -1,6 +1,10 @@
 package discovery
 
 import (
+	"bufio"
+	"net"
+	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -77,6 +81,53 @@
 	}
 }
 
+// An open long poll that is reset, as those of all nodes may be at once, must be followed by the next at the node's turn and not
+// at the module's bidding, and that one waits as long as any: the network has just delivered the reset.
+func TestResetPollComesBackInTurn(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	updates := make(chan Update, 10)
+	at := endpoints.Place{Node: 1, Nodes: 3}
+	pause := endpoints.NewPace(at).Reset()
+	watched := New(listener.Addr().String(), at, Quiet(), func(u Update) { updates <- u })
+	stop := running(t, watched, 3)
+	defer stop()
+	watched.SetWatch(true)
+	accept := func() (net.Conn, string) {
+		c, err := listener.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		request, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c, request.URL.Query().Get("timeout_ms")
+	}
+	first, _ := accept()
+	time.Sleep(openLeast) // an open poll is one that has waited for a while: what it waits for is time itself
+	if err := first.(*net.TCPConn).SetLinger(0); err != nil {
+		t.Fatal(err)
+	}
+	first.Close()
+	if u := <-updates; u.List != nil || u.Failure.Reason != endpoints.Reset {
+		t.Errorf("reported %+v", u)
+	}
+	reset := time.Now()
+	watched.SetWatch(true)
+	second, wait := accept()
+	defer second.Close()
+	if took := time.Since(reset); took < pause*9/10 {
+		t.Errorf("asked again after %v, its turn is after %v", took, pause)
+	}
+	if ms, err := strconv.Atoi(wait); err != nil || ms < 2000 {
+		t.Errorf("the next poll waits %q ms", wait)
+	}
+}
+
 // A call that discovery had no capacity for must be followed by the pace's pause, though the module asks sooner, and the node
 // must say why it failed. An answer must be followed by the next long poll at once.
 func TestOverloadedWatchPauses(t *testing.T) {
--- a/internal/node/discovery/watch.go
+++ b/internal/node/discovery/watch.go
@@ -220,9 +220,9 @@
 // failed takes the end of the newest call, which brought no list.
 func (w *watch) failed(e ended) {
 	f := failure(e.err, time.Since(e.begun), e.wait)
-	w.lost = f.Reason != endpoints.Overloaded
+	w.lost = f.Reason == endpoints.Unreachable
 	if !e.whole && errors.Is(e.err, context.DeadlineExceeded) {
-		f.Reason = endpoints.Silent // it took long enough: the next begins at once
+		f.Reason, w.lost = endpoints.Silent, true // it took long enough: the next begins at once
 		w.report(Update{Failure: f})
 		return
 	}
@@ -233,6 +233,10 @@
 		w.rest(agentPause)
 	case f.Reason == endpoints.Overloaded: // the module's own pause may end before
 		w.rest(w.pace.Overloaded(wallClock(), f.Took))
+	case f.Reason == endpoints.Reset:
+		if pause := w.pace.Reset(); pause > 0 {
+			w.rest(pause)
+		}
 	}
 	w.report(Update{Failure: f})
 }
--- a/internal/rig/virtual/registry_asker_test.go
+++ b/internal/rig/virtual/registry_asker_test.go
@@ -12,7 +12,8 @@
 
 const (
 	refusedByStatus failure = iota // the registry answered with an HTTP status, at once or after a wait
-	connectionLost                 // the connection was reset, or none came up
+	noConnection                   // none came up, or it was reset soon
+	pollReset                      // the connection of an open long poll was reset
 )
 
 // wallOffset is the time of the wall clock at which a run begins.
@@ -81,10 +82,15 @@
 
 // failed takes a call that ended without an answer, and returns the pause before the next.
 func (a *asker) failed(now, took time.Duration, how failure) pause {
-	a.lost = how != refusedByStatus
+	a.lost = how == noConnection
 	p := pauseIn(a.balancer.Members(now, decide.Members{Change: decide.ListFailed}, nil))
-	if !a.lost {
+	switch how {
+	case refusedByStatus:
 		p.wait = max(p.wait, a.pace.Overloaded(wallOffset+now, took))
+	case pollReset: // the node's own pause, whatever the module's
+		if pause := a.pace.Reset(); pause > 0 {
+			p.wait = pause
+		}
 	}
 	return p
 }
--- a/internal/rig/virtual/registry_service_test.go
+++ b/internal/rig/virtual/registry_service_test.go
@@ -23,6 +23,8 @@
 	resetsAtOnce              // the connection is reset
 	swallowsCalls             // no answer, and open polls stay open
 	outageKindsEnd            // not a kind
+	// openLeast is how long a call must have been out for its reset to be that of an open poll.
+	openLeast = 500 * time.Millisecond
 )
 
 func (k outageKind) String() string {
@@ -99,7 +101,7 @@
 	case rejectsAtOnce:
 		s.after(networkDelay, func() { s.fail(c, refusedByStatus) })
 	case resetsAtOnce:
-		s.after(networkDelay, func() { s.fail(c, connectionLost) })
+		s.after(networkDelay, func() { s.fail(c, noConnection) })
 	case swallowsCalls:
 		c.node.swallow()
 	case up:
@@ -193,8 +195,10 @@
 		case c == nil:
 		case kind == swallowsCalls:
 			n.swallow()
+		case s.now-c.begun < openLeast:
+			s.after(networkDelay, func() { s.fail(c, noConnection) })
 		default:
-			s.after(networkDelay, func() { s.fail(c, connectionLost) })
+			s.after(networkDelay, func() { s.fail(c, pollReset) })
 		}
 	}
 }
--- a/internal/servers/endpoints/confirm.go
+++ b/internal/servers/endpoints/confirm.go
@@ -20,9 +20,10 @@
 
 // The reasons.
 const (
-	Unreachable Reason = iota // no connection, a reset, or an answer that can't be read
+	Unreachable Reason = iota // no connection, or an answer that can't be read
 	Overloaded                // an HTTP error: discovery is down, or has more calls than it can work through
 	Silent                    // nothing came in time on a long poll; the next one begins at once
+	Reset                     // the connection of an open long poll was ended: the network delivers
 )
 
 // Failure is a call to discovery that brought no list.
--- a/internal/servers/endpoints/pace.go
+++ b/internal/servers/endpoints/pace.go
@@ -13,15 +13,24 @@
 	backOffSoon  = 5 * time.Second
 	backOffHeld  = 1 // pauses beyond the first that are not doubled
 	backOffMost  = 48 * time.Second
-	// No pause is longer than this for each node of the tier: where there are few, the last calls of others are soon over.
+	// A call that waited for so long in the queue had as much work before it, and more may come in the same time from nodes
+	// that have yet to learn of it: the first pauses are a multiple of that wait.
+	backOffWaits = 4
+	// No pause is longer than this for each node of the tier, with a floor, as the nodes of other tiers call as well. A node
+	// that is alone in its tier has a shorter one.
 	backOffANode = 2 * time.Second
-	backOffLeast = 1500 * time.Millisecond
+	backOffFleet = 16 * time.Second
+	backOffAlone = 2 * time.Second
 	// A call that ended sooner than this was turned away by a full queue. It cost discovery nothing, and counts less.
 	queuedLeast = 300 * time.Millisecond
 	turnedAway  = 0.5
 
 	// A turn that comes sooner than this part of the pause is left out for the next.
 	turnSoonest = 0.25
+
+	// Long polls of a whole fleet may be reset at once. A change then counts as told 6 s later: each node has its turn before,
+	// with 2 s left for the call.
+	resetSpread = toldAfterFailure - 2*time.Second
 )
 
 // Pace controls a node's rate of calls to discovery by what becomes of them, as the retries of a whole fleet would keep an
@@ -35,19 +44,28 @@
 	failures float64       // calls in a row that discovery had no capacity for; an answer takes half of them back
 	first    time.Duration // pause after an overloaded call ...
 	most     time.Duration // ... and at the most
+	reset    time.Duration // over which a fleet's calls are spread after a reset
 }
 
 // NewPace returns the pace of a node that stands there in its fleet.
 func NewPace(p Place) *Pace {
-	most := min(max(backOffLeast, time.Duration(max(0, p.Nodes))*backOffANode), backOffMost)
-	first := min(max(backOffFirst, time.Duration(p.Nodes)*backOffTurn), backOffSoon)
-	return &Pace{turn: p.turn(), first: first, most: max(first, most)}
+	nodes := time.Duration(max(0, p.Nodes))
+	if nodes <= 1 {
+		return &Pace{turn: p.turn(), first: backOffFirst, most: backOffAlone}
+	}
+	return &Pace{
+		turn:  p.turn(),
+		first: min(max(backOffFirst, nodes*backOffTurn), backOffSoon),
+		most:  min(max(backOffFleet, nodes*backOffANode), backOffMost),
+		reset: resetSpread,
+	}
 }
 
 // Overloaded takes a call that discovery had no capacity for, and that took so long. It returns the pause before the next.
 func (p *Pace) Overloaded(wall, took time.Duration) (pause time.Duration) {
 	doublings := min(max(0, p.failures-backOffHeld), 8)
-	period := min(time.Duration(math.Exp2(doublings)*float64(p.first)), p.most)
+	first := max(p.first, min(backOffWaits*took, backOffSoon))
+	period := min(time.Duration(math.Exp2(doublings)*float64(first)), p.most)
 	if took < queuedLeast {
 		p.failures += turnedAway
 	} else {
@@ -59,6 +77,9 @@
 // Answered takes an answer. One does not end an overload.
 func (p *Pace) Answered() { p.failures /= 2 }
 
+// Reset takes a long poll that was reset while it was open, and returns the pause before the next.
+func (p *Pace) Reset() (pause time.Duration) { return p.Spread(p.reset) }
+
 // Spread is the pause before a node's first call at an address to which all of the fleet come at once, of a time that the
 // fleet may need.
 func (p *Pace) Spread(all time.Duration) time.Duration { return time.Duration(p.turn * float64(all)) }
--- a/internal/servers/endpoints/pace_test.go
+++ b/internal/servers/endpoints/pace_test.go
@@ -60,6 +60,50 @@
 	}
 }
 
+// A call that timed out in the queue of a small fleet says that discovery is slow all the same: the pauses of such a fleet must
+// give discovery the time to work its queue off, while a call that was turned away soon says nothing of the kind.
+func TestPausesOfASmallFleetGoByTheWait(t *testing.T) {
+	at := Place{Node: 1, Nodes: 3}
+	const wall = time.Hour
+	for name, c := range map[string]struct{ took, least, most time.Duration }{
+		"timed out":           {2 * time.Second, backOffSoon / 4, backOffSoon * 5 / 4},
+		"waited for a second": {time.Second, time.Second, 5 * time.Second},
+		"turned away":         {10 * time.Millisecond, backOffFirst / 4, backOffFirst * 5 / 4},
+	} {
+		for step := range 20 {
+			pause := NewPace(at).Overloaded(wall+time.Duration(step)*100*time.Millisecond, c.took)
+			if pause < c.least || pause > c.most {
+				t.Errorf("%s: pauses for %v, want %v to %v", name, pause, c.least, c.most)
+			}
+		}
+	}
+	if pauses := overloads(NewPace(at), wall, 2*time.Second, 8); pauses[7] < 4*time.Second || pauses[7] > backOffFleet*5/4 {
+		t.Errorf("in the end it pauses for %v", pauses[7])
+	}
+}
+
+// Long polls that are reset together come back in turn, early enough for an answer before what discovery has counts as told.
+func TestResetPollsComeBackInTurn(t *testing.T) {
+	if pause := NewPace(Place{Nodes: 1, Seed: 7}).Reset(); pause != 0 {
+		t.Errorf("a node alone pauses for %v", pause)
+	}
+	for _, fleet := range [][]Place{fleetOf(2), fleetOf(3, 5), fleetOf(50, 250)} {
+		const parts = 2
+		var calls [parts]int
+		for _, at := range fleet {
+			p := NewPace(at)
+			pause := p.Reset()
+			if pause < 0 || pause > toldAfterFailure-2*time.Second {
+				t.Errorf("%+v pauses for %v", at, pause)
+			}
+			calls[min(parts-1, int(pause*parts/p.reset))]++
+		}
+		if calls[0] < len(fleet)/3 || calls[1] < len(fleet)/3 {
+			t.Errorf("%d nodes: %v call in the halves of the time", len(fleet), calls)
+		}
+	}
+}
+
 // One answer does not end an overload: the next pause goes on from a part of the last one, and several answers end it.
 func TestAnswersEndAnOverload(t *testing.T) {
 	p := NewPace(Place{Node: 3, Nodes: 60})
