Run real nodes among hollow ones on loopback, and measure the real ones: curlewctl scale run

Need: what a node spends on control in a fleet of thousands can't be seen with a few processes. A hollow node is the membership of a real one on sockets of its own, many in one process; real nodes in processes of their own stand among them before stand-in servers. The report also has leases (leader, voters, holders) and a release of all nodes in an hour. The lab can join a larger fleet without relays.

--- a/internal/rig/lab/between.go
+++ b/internal/rig/lab/between.go
@@ -20,18 +20,18 @@
 	"curlewring/internal/rig/standin"
 )
 
-// between is what stands between the nodes: a relay for each ordered pair.
+// between is what stands between the nodes: a relay for each ordered pair, unless they are part of a larger fleet.
 type between struct {
 	addresses []netip.AddrPort
-	relays    map[[2]int]*relay.Relay // from, to
+	relays    map[[2]int]*relay.Relay // from, to; none in a larger fleet
 	faults    []*standin.Fault        // that are on
 }
 
 // mostLinked bounds the nodes that know each other: each pair takes four sockets and as many goroutines.
 const mostLinked = 32
 
-func newBetween(nodes int, host string, seed uint64) (_ *between, err error) {
-	if nodes > mostLinked {
+func newBetween(nodes int, host string, seed uint64, relays bool) (_ *between, err error) {
+	if relays && nodes > mostLinked {
 		return nil, fmt.Errorf("%d nodes with members, at most %d", nodes, mostLinked)
 	}
 	b := &between{relays: map[[2]int]*relay.Relay{}}
@@ -50,6 +50,9 @@
 		}
 		b.addresses = append(b.addresses, at)
 	}
+	if !relays {
+		return b, nil
+	}
 	for from := range nodes {
 		for to := range nodes {
 			if from == to {
@@ -98,19 +101,24 @@
 	}
 }
 
-// write writes a node's own settings: the first three are the seeds, and each other one is reached by its relay.
+// write writes a node's own settings: the first three are the seeds, if there are no others, and each other one is reached by
+// its relay.
 func (b *between) write(node int, path, folder string, o *Options) error {
 	var s strings.Builder
 	fmt.Fprintf(&s, "[state]\nfolder = %q\n\n[members]\nfleet = \"lab\"\nlisten = %q\nseeds = [", folder, b.addresses[node].String())
-	for i := range min(3, len(b.addresses)) {
+	seeds := o.Seeds
+	if len(seeds) == 0 {
+		seeds = b.addresses[:min(3, len(b.addresses))]
+	}
+	for i, seed := range seeds {
 		if i > 0 {
 			s.WriteString(", ")
 		}
-		fmt.Fprintf(&s, "%q", b.addresses[i].String())
+		fmt.Fprintf(&s, "%q", seed.String())
 	}
 	fmt.Fprintf(&s, "]\npool = %v\n\n[members.via]\n", !o.Alone)
 	for to, at := range b.addresses {
-		if to != node {
+		if to != node && len(b.relays) > 0 {
 			fmt.Fprintf(&s, "%q = %q\n", at.String(), b.relays[[2]int{node, to}].Address.String())
 		}
 	}
--- a/internal/rig/lab/idle.go
+++ b/internal/rig/lab/idle.go
@@ -89,13 +89,13 @@
 	} else if err := i.help(ctx, l); err != nil {
 		return err
 	}
-	cpu, begun := l.cpu(), time.Now()
+	cpu, begun := l.CPU(), time.Now()
 	select {
 	case <-time.After(quietFor):
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	i.row.QuietCores = (l.cpu() - cpu).Seconds() / time.Since(begun).Seconds()
+	i.row.QuietCores = (l.CPU() - cpu).Seconds() / time.Since(begun).Seconds()
 	after := resident()
 	i.row.Held = i.held
 	i.row.BeforeMB, i.row.AfterMB = float64(before)/(1<<20), float64(after)/(1<<20)
--- a/internal/rig/lab/lab.go
+++ b/internal/rig/lab/lab.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"slices"
@@ -40,6 +41,7 @@
 	Routes   string                          // the [[route]] tables of their descriptions; "": a usual one
 	edit     func(i int, text []byte) []byte // of a sidecar's written configuration, for tests
 	Members  bool                            // nodes before the first tier know each other; between each two a relay for each direction
+	Seeds    []netip.AddrPort                // with Members: of a larger fleet that the nodes join; no relays then
 	Alone    bool                            // with Members: each goes by its own part of a cold box's budget
 	Leases   time.Duration                   // with Members: they keep leases, and a voter that is gone for so long is replaced; 0: none
 	Record   bool                            // with Leases: nodes without a list of boxes get one from each other
@@ -93,7 +95,7 @@
 		return nil, err
 	}
 	if o.Members {
-		if l.between, err = newBetween(o.Nodes, l.Fleet.Host(), o.Plan.Seed); err != nil {
+		if l.between, err = newBetween(o.Nodes, l.Fleet.Host(), o.Plan.Seed, len(o.Seeds) == 0); err != nil {
 			return nil, err
 		}
 	}
@@ -154,6 +156,9 @@
 	return l, nil
 }
 
+// Clients are those of the nodes before the first tier.
+func (l *Lab) Clients() []*standin.Client { return slices.Clone(l.clients) }
+
 func (l *Lab) processes() []*process { return append(slices.Clone(l.front), l.inner...) }
 
 // node prepares a node; it does not start it.
@@ -379,7 +384,7 @@
 			return nil, err
 		}
 	}
-	before := l.cpu()
+	before := l.CPU()
 	begun := time.Now()
 	var parts sync.WaitGroup
 	var faultErrs []error
@@ -402,7 +407,7 @@
 	}
 	l.Callers.Run(ctx, l.options.Traffic)
 	took := time.Since(begun)
-	cpu := l.cpu() - before
+	cpu := l.CPU() - before
 	close(over)
 	cancel()
 	parts.Wait()
@@ -418,8 +423,8 @@
 	return l.report(took, cpu), nil
 }
 
-// cpu is what the nodes before the first tier have used.
-func (l *Lab) cpu() time.Duration {
+// CPU is what the nodes before the first tier have used.
+func (l *Lab) CPU() time.Duration {
 	sum := time.Duration(0)
 	for _, p := range l.front {
 		sum += p.used()
--- a/internal/rig/lab/leasescost_test.go
+++ b/internal/rig/lab/leasescost_test.go
@@ -92,13 +92,13 @@
 		}
 		extended.Store(0)
 		syncs, bytes := disk()
-		cpu := x.cpu()
+		cpu := x.CPU()
 		begun := time.Now()
 		time.Sleep(10 * time.Second) // what is measured
 		length := time.Since(begun).Seconds()
 		syncsNow, bytesNow := disk()
 		t.Logf("%4d leases of 1 s: %6.1f renewals a second, %.1f syncs a voter a second, %.0f bytes, %.2f%% of a core a node",
-			n, float64(extended.Load())/length, float64(syncsNow-syncs)/length/3, float64(bytesNow-bytes)/length/3, 100*(x.cpu()-cpu).Seconds()/length/5)
+			n, float64(extended.Load())/length, float64(syncsNow-syncs)/length/3, float64(bytesNow-bytes)/length/3, 100*(x.CPU()-cpu).Seconds()/length/5)
 		for _, h := range held {
 			h.Stopped()
 		}
--- a/internal/rig/leases/sim.go
+++ b/internal/rig/leases/sim.go
@@ -67,6 +67,7 @@
 	disk    agree.Disk
 	note    []byte
 	syncs   int
+	sent    Traffic
 	council *council.Council
 	tenants map[uint64]*tenant
 }
@@ -198,6 +199,7 @@
 	for i := range outs {
 		if to := p.s.byName[outs[i].To]; to != nil {
 			m := outs[i].Message
+			p.count(m)
 			p.s.carry(p, to, func() {
 				to.council.Receive(to.clock(), m)
 				to.carry()
--- /dev/null
+++ b/internal/rig/scale/fleet_test.go
@@ -0,0 +1,107 @@
+package scale
+
+import (
+	"errors"
+	"math"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// Real processes among hollow nodes must be one fleet: all agree, a zone that dies at once and a real node that is killed are
+// out of all views, the zone comes back into them, and the real nodes serve meanwhile with all rules kept.
+func TestRealNodesAmongHollowOnes(t *testing.T) {
+	set := FleetSettings{
+		Hollow: 24, Real: 3, Zones: 4, Settle: leastLength, Rest: time.Second, Load: time.Second, Rate: 50, Servers: 6,
+	}
+	r, err := RunFleet(t.Context(), set, func(part string) { t.Log(part) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%+v", r)
+	if r.Nodes != 27 || r.Bytes <= 0 || r.Messages <= 0 || r.Core >= 1 { // the system counts processor time by ticks of 10 ms
+		t.Errorf("measured %+v", r)
+	}
+	for name, took := range map[string]time.Duration{
+		"agreed": r.Agreed, "crash": r.CrashTold, "zone": r.ZoneTold, "zone back": r.ZoneBack, "real node": r.RealTold,
+	} {
+		if took <= 0 {
+			t.Errorf("%s: not measured", name)
+		}
+	}
+	if len(r.Latency.Direct) == 0 || r.Latency.DirectMedian < latencyWork || r.Latency.ThroughMedian < r.Latency.DirectMedian {
+		t.Errorf("latency %+v", r.Latency)
+	}
+	if len(r.Broken) > 0 {
+		t.Errorf("broken: %v", r.Broken)
+	}
+	var text strings.Builder
+	if err := r.Write(&text, OperatorsPlan()); err != nil || strings.Count(text.String(), "\n") < 12 {
+		t.Errorf("%v, wrote %q", err, text.String())
+	}
+}
+
+// A hollow node must cost the others what a real one costs them, or a run among hollow ones would tell nothing of the fleet:
+// the same fleet of 50 once all real, and once with five real nodes.
+func TestHollowNodesCountAsRealOnes(t *testing.T) {
+	if os.Getenv("CURLEWRING_LONG") == "" {
+		t.Skip("set CURLEWRING_LONG=1")
+	}
+	const nodes, zones, most = 50, 2, 0.15
+	set := FleetSettings{Real: nodes, Zones: zones, Settle: 10 * time.Second, Rest: 20 * time.Second, Load: 6 * time.Second, Rate: 10, Servers: 8}
+	real, err := RunFleet(t.Context(), set, func(string) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	set.Real, set.Hollow = 5, nodes-5
+	mixed, err := RunFleet(t.Context(), set, func(string) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range []struct {
+		name        string
+		real, mixed float64
+	}{{"bytes", real.Bytes, mixed.Bytes}, {"messages", real.Messages, mixed.Messages}, {"processor time", real.Core, mixed.Core}} {
+		off := math.Abs(x.mixed-x.real) / x.real
+		t.Logf("%s: %.4g with %d real nodes, %.4g with 5: apart by %.1f%%", x.name, x.real, nodes, x.mixed, 100*off)
+		if off > most {
+			t.Errorf("%s are apart by %.1f%%, %.0f%% are allowed", x.name, 100*off, 100*most)
+		}
+	}
+}
+
+func TestBadSettingsOfARunAreRefused(t *testing.T) {
+	good := FleetSettings{Hollow: 20, Real: 2, Zones: 4, Settle: time.Second, Rest: time.Second, Load: time.Second, Rate: 10, Servers: 4}
+	if err := good.Validate(); err != nil {
+		t.Fatal(err)
+	}
+	var keys []string
+	for _, spoil := range []func(s *FleetSettings){
+		func(s *FleetSettings) { s.Hollow = mostHollow + 1 }, func(s *FleetSettings) { s.Real = 0 },
+		func(s *FleetSettings) { s.Zones = 21 }, func(s *FleetSettings) { s.Zones = 0 },
+		func(s *FleetSettings) { s.Servers = 0 }, func(s *FleetSettings) { s.Rest = time.Hour },
+		func(s *FleetSettings) { s.Load = 0 }, func(s *FleetSettings) { s.Settle = -1 },
+		func(s *FleetSettings) { s.Rate = math.NaN() },
+	} {
+		bad := good
+		spoil(&bad)
+		var wrong *SettingError
+		if err := bad.Validate(); !errors.As(err, &wrong) || wrong.Least == nil || wrong.Most == nil {
+			t.Errorf("%+v: %v", bad, err)
+			continue
+		}
+		keys = append(keys, wrong.Key)
+		if _, err := RunFleet(t.Context(), bad, func(string) { t.Error("it has begun") }); err == nil {
+			t.Errorf("%+v was run", bad)
+		}
+	}
+	if want := []string{"hollow", "real", "hollow", "zones", "servers", "rest", "load", "settle", "rate"}; !slices.Equal(keys, want) {
+		t.Errorf("told %v, want %v", keys, want)
+	}
+}
--- a/internal/rig/scale/membership.go
+++ b/internal/rig/scale/membership.go
@@ -18,6 +18,7 @@
 
 	LostBytes     float64       // sent by a node in a second, over the 10 s in which a zone is lost
 	ReturnedBytes float64       // the same as it comes back
+	ReleaseBytes  float64       // the same while all nodes are restarted one after another within an hour
 	Agreed        time.Duration // all started at once, until all have one view
 	CrashTold     time.Duration // until a crashed node is out of all views
 	ZoneTold      time.Duration // until a lost zone is
@@ -76,9 +77,29 @@
 	if !net.Until(toldWithin, agreed(net)) {
 		return cost, fmt.Errorf("%d nodes: a returned zone is not in all views after %v", nodes, toldWithin)
 	}
+	cost.ReleaseBytes = release(net)
 	return cost, nil
 }
 
+// release restarts nodes one after another, at the rate of a release of all nodes in an hour, and returns what a node sends in
+// a second meanwhile.
+func release(net *members.Net) float64 {
+	const (
+		whole = time.Hour
+		part  = 30 * time.Second
+		down  = 500 * time.Millisecond
+	)
+	every := max(whole/time.Duration(len(net.Nodes)), time.Millisecond)
+	begun := net.Now
+	for i := 0; time.Duration(i)*every < part; i++ {
+		node := (i*7 + 1) % len(net.Nodes)
+		at := begun + time.Duration(i)*every
+		net.At(at, func() { net.Kill(node) })
+		net.At(at+down, func() { net.Start(node, true) })
+	}
+	return traffic(net, part).bytes
+}
+
 func agreed(net *members.Net) func() bool {
 	return func() bool { return net.Agreed(net.Living()...) }
 }
--- a/internal/rig/scale/plan.go
+++ b/internal/rig/scale/plan.go
@@ -9,6 +9,7 @@
 	Zones    int
 	Regions  int
 	Hops     int // nodes on the path of one call, at the most
+	Voters   int // machines set aside for control
 
 	Configurations int // changes of the configuration a day
 	Failures       int // machines a day that fail
@@ -29,7 +30,7 @@
 // OperatorsPlan is the size that the operators plan for.
 func OperatorsPlan() Plan {
 	return Plan{
-		Nodes: 5400, Services: 590, Zones: 17, Regions: 5, Hops: 22,
+		Nodes: 5400, Services: 590, Zones: 17, Regions: 5, Hops: 22, Voters: 7,
 		Configurations: 7300, Failures: 31, Restarts: 920,
 		Control:         Allowance{Core: 0.019, Memory: 256 << 20, BytesPerSecond: 14_000},
 		ConfiguredAfter: 10 * time.Second,
--- a/internal/rig/scale/report.go
+++ b/internal/rig/scale/report.go
@@ -5,6 +5,8 @@
 	"io"
 	"strings"
 	"time"
+
+	"curlewring/internal/rig/leases"
 )
 
 // Unit is what a figure is counted in.
@@ -115,6 +117,7 @@
 	State      []int // fleets of which each node holds its own view
 	Servers    []int // lists
 	Discovery  []int // watchers
+	Leases     []int // nodes with a lease each
 }
 
 // MostNodes bounds the sizes of a report.
@@ -139,7 +142,7 @@
 	for _, list := range []struct {
 		key   string
 		sizes []int
-	}{{"membership", s.Membership}, {"state", s.State}, {"servers", s.Servers}, {"discovery", s.Discovery}} {
+	}{{"membership", s.Membership}, {"state", s.State}, {"servers", s.Servers}, {"discovery", s.Discovery}, {"leases", s.Leases}} {
 		if len(list.sizes) < leastSizes {
 			return &SizeError{list.key + " (number of sizes)", len(list.sizes), leastSizes, MostNodes}
 		}
@@ -163,6 +166,9 @@
 	if err := r.membership(sizes, seed, progress); err != nil {
 		return nil, err
 	}
+	if err := r.leases(sizes, seed, progress); err != nil {
+		return nil, err
+	}
 	if err := r.servers(sizes, progress); err != nil {
 		return nil, err
 	}
@@ -184,6 +190,7 @@
 		{Name: "processor time at rest", Unit: Core, Allowed: control.Core},
 		{Name: "sent in the 10 s after a zone is lost", Unit: BytesPerSecond, Allowed: control.BytesPerSecond},
 		{Name: "sent in the 10 s after it is back", Unit: BytesPerSecond, Allowed: control.BytesPerSecond},
+		{Name: "sent during a release of all nodes in an hour", Unit: BytesPerSecond, Allowed: control.BytesPerSecond},
 		{Name: "all started at once, until all agree", Unit: Seconds},
 		{Name: "a crash, until all know", Unit: Seconds},
 		{Name: "a zone lost, until all know (10 s at the least)", Unit: Seconds},
@@ -195,7 +202,7 @@
 			return err
 		}
 		for i, value := range []float64{
-			c.RestBytes, c.RestMessages, c.RestCore, c.LostBytes, c.ReturnedBytes,
+			c.RestBytes, c.RestMessages, c.RestCore, c.LostBytes, c.ReturnedBytes, c.ReleaseBytes,
 			c.Agreed.Seconds(), c.CrashTold.Seconds(), c.ZoneTold.Seconds(),
 		} {
 			figures[i].Samples = append(figures[i].Samples, Sample{size, value})
@@ -217,6 +224,32 @@
 	return nil
 }
 
+func (r *Report) leases(sizes Sizes, seed uint64, progress func(string)) error {
+	const mechanism = "`fleet/lease` in the log of `fleet/agree`: 7 voters, one lease a node, renewed within its time to live of 2 s"
+	figures := []Figure{
+		{Role: "leader of 7 voters", Name: "sent, one lease a node", Unit: BytesPerSecond},
+		{Role: "leader of 7 voters", Name: "messages sent", Unit: PerSecond},
+		{Role: "leader of 7 voters", Name: "syncs of its disk", Unit: PerSecond},
+		{Role: "voter", Name: "sent, one lease a node", Unit: BytesPerSecond},
+		{Role: "holder of a lease", Name: "sent", Unit: BytesPerSecond, Allowed: r.Plan.Control.BytesPerSecond},
+	}
+	for _, size := range sizes.Leases {
+		progress(fmt.Sprintf("leases of %d nodes", size))
+		c, err := leases.MeasureCost(size, r.Plan.Voters, 1, seed)
+		if err != nil {
+			return err
+		}
+		for i, value := range []float64{c.LeaderBytes, c.LeaderMessages, c.LeaderSyncs, c.VoterBytes, c.HolderBytes} {
+			figures[i].Samples = append(figures[i].Samples, Sample{size, value})
+		}
+	}
+	for _, f := range figures {
+		f.Mechanism = mechanism
+		r.Figures = append(r.Figures, f)
+	}
+	return nil
+}
+
 func (r *Report) servers(sizes Sizes, progress func(string)) error {
 	figures := []Figure{
 		{Name: "a whole answer of discovery", Unit: Bytes},
@@ -266,11 +299,7 @@
 			fmt.Sprintf("%d regions lose each other for an hour", plan.Regions),
 			"not known", "membership is one view that wants a majority: a region apart is a minority; not played at this size",
 		},
-		{"7 machines for control: load of a voter and of its leader", "not known", "`rig/leases` counts no bytes"},
-		{
-			fmt.Sprintf("%v added to a call for 99 in 100, under 100 calls a second", plan.AddedLatency),
-			"not known", "the decision's own part is above; the rest of a hop is not measured against a direct call",
-		},
+		{fmt.Sprintf("%d machines for control: processor time of a voter", plan.Voters), "not known", "virtual time counts messages, bytes and syncs"},
 		{fmt.Sprintf("subsets of %d services of very different sizes", plan.Services), "not known", "played for one service only"},
 		{"clocks that differ", "not known", "turns fall by chance then; not played at this size"},
 	}
--- a/internal/rig/scale/scale_test.go
+++ b/internal/rig/scale/scale_test.go
@@ -67,7 +67,7 @@
 func TestBadSizesAreRefused(t *testing.T) {
 	good := func() Sizes {
 		return Sizes{
-			Membership: []int{40, 50, 60, 70}, State: []int{40, 50, 60, 70}, Servers: []int{100, 200, 300, 400}, Discovery: []int{50, 60, 70, 80},
+			Membership: []int{40, 50, 60, 70}, State: []int{40, 50, 60, 70}, Servers: []int{100, 200, 300, 400}, Discovery: []int{50, 60, 70, 80}, Leases: []int{40, 50, 60, 70},
 		}
 	}
 	const zones = 17
@@ -108,6 +108,7 @@
 func TestReport(t *testing.T) {
 	sizes := Sizes{
 		Membership: []int{34, 40, 46, 52}, State: []int{34, 40, 46, 52}, Servers: []int{50, 100, 150, 200}, Discovery: []int{40, 80, 160, 320},
+		Leases: []int{34, 40, 46, 52},
 	}
 	r, err := Run(OperatorsPlan(), sizes, 1, func(string) {})
 	if err != nil {
