--- a/internal/fleet/allowance/dealer.go
+++ b/internal/fleet/allowance/dealer.go
@@ -11,7 +11,7 @@
 // Dealer deals what was lent to it.
 type Dealer struct {
 	set   Settings
-	pools map[Box]*pool
+	pools map[Server]*pool
 	heard map[uint64]uint64 // the last claim of each holder
 	swept time.Duration
 }
@@ -47,7 +47,7 @@
 
 // NewDealer returns a dealer that holds nothing.
 func NewDealer(set Settings) *Dealer {
-	return &Dealer{set: set.Default(), pools: map[Box]*pool{}, heard: map[uint64]uint64{}}
+	return &Dealer{set: set.Default(), pools: map[Server]*pool{}, heard: map[uint64]uint64{}}
 }
 
 // Pools is the number of servers that something is lent for.
@@ -69,7 +69,7 @@
 	since := time.Duration(c.Stamp - 1)
 	for i := range c.Items {
 		if n, total := d.lend(now, since, c.Holder, &c.Items[i]); n > 0 {
-			g.Items = append(g.Items, Dealt{c.Items[i].Box, n, total})
+			g.Items = append(g.Items, Dealt{c.Items[i].Server, n, total})
 		}
 	}
 	return g, true
@@ -80,13 +80,13 @@
 
 // lend books a part and deals on it: so many sends now, and so many on this loan in all.
 func (d *Dealer) lend(now, since time.Duration, holder uint64, it *Item) (n, total int) {
-	p := d.pools[it.Box]
+	p := d.pools[it.Server]
 	if p == nil {
 		if len(d.pools) >= mostPools {
 			return 0, 0
 		}
 		p = &pool{filled: now}
-		d.pools[it.Box] = p
+		d.pools[it.Server] = p
 	}
 	d.settle(p, now)
 	at, found := slices.BinarySearchFunc(p.loans, holder, func(l *loan, h uint64) int { return cmp.Compare(l.holder, h) })
@@ -174,7 +174,7 @@
 }
 
 // What a server may get before it has answered anybody, and for each answer of the last two windows: nobody knows what
-// this one can do, but what it has answered to all of them together, it could. A box of a sixth of the others' size is
+// this one can do, but what it has answered to all of them together, it could. A server of a sixth of the others' size is
 // found out so within a window.
 const (
 	first  = 2
@@ -198,9 +198,9 @@
 	}
 	d.swept = now
 	busy := map[uint64]bool{}
-	for box, p := range d.pools {
+	for server, p := range d.pools {
 		if d.settle(p, now); len(p.loans) == 0 && len(p.used) == 0 {
-			delete(d.pools, box)
+			delete(d.pools, server)
 		}
 		for _, l := range p.loans {
 			busy[l.holder] = true
@@ -218,7 +218,7 @@
 
 // Standing is a pool as operators see it.
 type Standing struct {
-	Box
+	Server
 	Lenders int
 	Rate    float64 // sends a second, of what is lent
 	Out     int     // dealt, and not yet told of
@@ -228,10 +228,10 @@
 // Standings are all pools, by server.
 func (d *Dealer) Standings(now time.Duration) []Standing {
 	var all []Standing
-	for box, p := range d.pools {
+	for server, p := range d.pools {
 		d.settle(p, now)
 		if len(p.loans) > 0 {
-			all = append(all, Standing{box, len(p.loans), d.rate(p, now), p.out, len(p.used)})
+			all = append(all, Standing{server, len(p.loans), d.rate(p, now), p.out, len(p.used)})
 		}
 	}
 	slices.SortFunc(all, func(a, b Standing) int {
--- a/internal/fleet/allowance/holder.go
+++ b/internal/fleet/allowance/holder.go
@@ -29,7 +29,7 @@
 	set     Settings
 	rng     *rand.Rand
 	quiet   time.Duration // until then the last life's parts may still be lent
-	parts   map[Box]*part
+	parts   map[Server]*part
 	dealers map[uint64]*dealer
 	members []Member // as Tick was told last, by life
 	id      uint64
@@ -68,7 +68,7 @@
 
 // NewHolder returns the holder of a life that starts now.
 func NewHolder(set Settings, seed uint64, now time.Duration) *Holder {
-	h := &Holder{set: set.Default(), rng: rand.New(rand.NewPCG(seed, 0xc01d)), parts: map[Box]*part{}, dealers: map[uint64]*dealer{}}
+	h := &Holder{set: set.Default(), rng: rand.New(rand.NewPCG(seed, 0xc01d)), parts: map[Server]*part{}, dealers: map[uint64]*dealer{}}
 	h.quiet = now + h.set.held()
 	h.id = h.rng.Uint64() | 1
 	return h
@@ -83,17 +83,17 @@
 		p.listed = false
 	}
 	for i := range colds {
-		box := Box{colds[i].Server, colds[i].Started}
-		p := h.parts[box]
+		server := Server{colds[i].Server, colds[i].Started}
+		p := h.parts[server]
 		if p == nil {
 			p = &part{}
-			h.parts[box] = p
+			h.parts[server] = p
 			// Its part is about to be lent: what this node sent meanwhile by itself nobody would count.
 			if p.lent = now + h.set.Silent/2; len(members) < 2 {
 				p.lent = now
 			}
 			if p.lent = max(p.lent, h.quiet); now < p.lent {
-				h.deals = append(h.deals, decide.Deal{Server: box.ID, Started: box.Started, Lent: p.lent})
+				h.deals = append(h.deals, decide.Deal{Server: server.ID, Started: server.Started, Lent: p.lent})
 			}
 		}
 		more := colds[i].Used - p.seen
@@ -103,9 +103,9 @@
 		p.used += more
 		p.cold, p.seen, p.listed = colds[i], colds[i].Used, true
 	}
-	for box, p := range h.parts {
+	for server, p := range h.parts {
 		if !p.listed && now >= p.lent {
-			delete(h.parts, box)
+			delete(h.parts, server)
 		}
 	}
 	h.share(colds)
@@ -116,8 +116,8 @@
 func (h *Holder) claims(now time.Duration) []Out {
 	h.look(now)
 	h.asked = slices.DeleteFunc(h.asked, func(a asked) bool { return now-a.at >= h.set.Silent })
-	byDealer := map[uint64][]Box{}
-	for box, p := range h.parts {
+	byDealer := map[uint64][]Server{}
+	for server, p := range h.parts {
 		if !p.listed {
 			continue
 		}
@@ -126,15 +126,15 @@
 		}
 		to := p.to
 		if to == 0 {
-			to = h.choose(now, box, p.cold.Zone)
+			to = h.choose(now, server, p.cold.Zone)
 		}
 		if to != 0 && h.there(to) {
-			byDealer[to] = append(byDealer[to], box)
+			byDealer[to] = append(byDealer[to], server)
 		}
 	}
 	var all []Out
 	for _, to := range slices.Sorted(maps.Keys(byDealer)) {
-		boxes, d := byDealer[to], h.dealers[to]
+		servers, d := byDealer[to], h.dealers[to]
 		if d == nil {
 			d = &dealer{next: now}
 			h.dealers[to] = d
@@ -146,8 +146,8 @@
 		if d.waiting == 0 {
 			d.waiting = now
 		}
-		slices.SortFunc(boxes, func(a, b Box) int { return cmp.Or(strings.Compare(a.ID, b.ID), cmp.Compare(a.Started, b.Started)) })
-		for part := range slices.Chunk(boxes, MostItems) {
+		slices.SortFunc(servers, func(a, b Server) int { return cmp.Or(strings.Compare(a.ID, b.ID), cmp.Compare(a.Started, b.Started)) })
+		for part := range slices.Chunk(servers, MostItems) {
 			all = append(all, Out{to, h.claim(now, to, d, part)})
 		}
 	}
@@ -155,22 +155,22 @@
 }
 
 // claim makes one claim. Without a stamp it lends nothing, and only asks for one.
-func (h *Holder) claim(now time.Duration, to uint64, d *dealer, boxes []Box) Claim {
+func (h *Holder) claim(now time.Duration, to uint64, d *dealer, servers []Server) Claim {
 	h.seq++
 	h.asked = append(h.asked, asked{h.seq, now, to})
 	c := Claim{Holder: h.id, Seq: h.seq, Stamp: d.stamp}
 	if d.stamp == 0 || now < h.quiet { // what the last life lent is not to be lent again
 		return c
 	}
-	for _, box := range boxes {
-		p := h.parts[box]
+	for _, server := range servers {
+		p := h.parts[server]
 		if p.to == 0 {
 			p.to, p.used, p.granted, p.lost = to, 0, 0, 0
 		}
 		p.lent = now + h.set.held()
-		h.deals = append(h.deals, decide.Deal{Server: box.ID, Started: box.Started, Lent: p.lent})
+		h.deals = append(h.deals, decide.Deal{Server: server.ID, Started: server.Started, Lent: p.lent})
 		c.Items = append(c.Items, Item{
-			Box: box, Rate: min(p.cold.Rate, mostRate), Want: p.want, Answered: p.cold.Answered,
+			Server: server, Rate: min(p.cold.Rate, mostRate), Want: p.want, Answered: p.cold.Answered,
 			Used: p.used, Back: max(0, p.granted+p.lost-p.used-p.cold.Held),
 		})
 	}
@@ -190,7 +190,7 @@
 	for _, short := range [...]bool{true, false} {
 		for _, i := range order {
 			c := &colds[i]
-			p := h.parts[Box{c.Server, c.Started}]
+			p := h.parts[Server{c.Server, c.Started}]
 			if c.Short != short {
 				continue
 			}
@@ -222,7 +222,7 @@
 
 // choose is the dealer for a server: of the members of its own site, or of all where there are none, the one that
 // hashing sets highest for this server and that answers.
-func (h *Holder) choose(now time.Duration, box Box, site string) (best uint64) {
+func (h *Holder) choose(now time.Duration, server Server, site string) (best uint64) {
 	most := uint64(0)
 	for _, own := range [...]bool{true, false} {
 		for _, m := range h.members {
@@ -232,7 +232,7 @@
 			if d := h.dealers[m.Life]; d != nil && now < d.avoid {
 				continue
 			}
-			if at := rank(box, m.Life); best == 0 || at > most {
+			if at := rank(server, m.Life); best == 0 || at > most {
 				best, most = m.Life, at
 			}
 		}
@@ -244,10 +244,10 @@
 }
 
 // rank sets a member for a server (rendezvous hashing).
-func rank(box Box, life uint64) uint64 {
-	x := life ^ uint64(box.Started)*0x9e3779b97f4a7c15
-	for i := range len(box.ID) {
-		x = (x ^ uint64(box.ID[i])) * 1099511628211
+func rank(server Server, life uint64) uint64 {
+	x := life ^ uint64(server.Started)*0x9e3779b97f4a7c15
+	for i := range len(server.ID) {
+		x = (x ^ uint64(server.ID[i])) * 1099511628211
 	}
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
 	x = (x ^ x>>27) * 0x94d049bb133111eb
@@ -270,7 +270,7 @@
 	d.seq, d.stamp, d.waiting = g.Seq, max(d.stamp, g.Stamp), 0
 	until := a.at + h.set.Good
 	for _, x := range g.Items {
-		p := h.parts[x.Box]
+		p := h.parts[x.Server]
 		if p == nil || p.to != from || x.Sends <= 0 || x.Total < p.granted+p.lost+x.Sends {
 			continue
 		}
--- a/internal/fleet/allowance/message.go
+++ b/internal/fleet/allowance/message.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// Box is one life of a server.
-type Box struct {
+// Server is one life of a server.
+type Server struct {
 	ID      string
 	Started time.Duration // as the list of servers tells it
 }
@@ -23,7 +23,7 @@
 
 // Item is one server of a claim.
 type Item struct {
-	Box
+	Server
 	Rate     float64 // sends a second: the part that is lent
 	Used     int     // of all that this dealer has dealt, sent
 	Back     int     // ... and given up unused
@@ -40,7 +40,7 @@
 
 // Dealt is what a grant deals for one server.
 type Dealt struct {
-	Box
+	Server
 	Sends int
 	Total int // that this dealer has dealt to this life on the loan: what is missing of it was lost on the way
 }
--- a/internal/fleet/wire/allowance.go
+++ b/internal/fleet/wire/allowance.go
@@ -26,7 +26,7 @@
 	var part []byte
 	for i := range c.Items {
 		it := &c.Items[i]
-		part = box(part[:0], it.Box)
+		part = server(part[:0], it.Server)
 		part = form.Fixed(part, 3, math.Float64bits(it.Rate))
 		part = form.Number(part, 4, uint64(it.Used))
 		part = form.Number(part, 5, uint64(it.Back))
@@ -43,7 +43,7 @@
 	to = form.Number(to, 2, g.Stamp)
 	var part []byte
 	for i := range g.Items {
-		part = box(part[:0], g.Items[i].Box)
+		part = server(part[:0], g.Items[i].Server)
 		part = form.Number(part, 3, uint64(g.Items[i].Sends))
 		part = form.Number(part, 4, uint64(g.Items[i].Total))
 		to = form.Bytes(to, 3, part)
@@ -51,7 +51,7 @@
 	return to
 }
 
-func box(to []byte, b allowance.Box) []byte {
+func server(to []byte, b allowance.Server) []byte {
 	return form.Number(form.Bytes(to, 1, []byte(b.ID)), 2, protowire.EncodeZigZag(int64(b.Started)))
 }
 
@@ -85,7 +85,7 @@
 				case f.IsNum && f.Num == 7:
 					it.Answered, err = count(f.X)
 				default:
-					readBox(&it.Box, f)
+					readServer(&it.Server, f)
 				}
 				return err
 			})
@@ -127,7 +127,7 @@
 				case f.IsNum && f.Num == 4:
 					x.Total, err = count(f.X)
 				default:
-					readBox(&x.Box, f)
+					readServer(&x.Server, f)
 				}
 				return err
 			})
@@ -144,7 +144,7 @@
 	return g, nil
 }
 
-func readBox(b *allowance.Box, f form.Field) {
+func readServer(b *allowance.Server, f form.Field) {
 	switch {
 	case !f.IsNum && f.Num == 1:
 		b.ID = string(f.B)
