--- a/internal/servers/endpoints/asking_test.go
+++ b/internal/servers/endpoints/asking_test.go
@@ -67,14 +67,14 @@
 	}
 }
 
-// liste is a Boxliste that works through calls in turn at so many lines a second, whether or not the caller waits.
-type liste struct {
+// slowRegistry works through calls in turn at so many lines a second, whether or not the caller waits.
+type slowRegistry struct {
 	rate  float64
 	busy  time.Duration
 	calls int
 }
 
-func (l *liste) call(now time.Duration, lines int) (answered time.Duration) {
+func (l *slowRegistry) call(now time.Duration, lines int) (answered time.Duration) {
 	l.calls++
 	l.busy = max(l.busy, now) + time.Duration(float64(lines+1)/l.rate*float64(time.Second))
 	return l.busy
@@ -100,7 +100,7 @@
 // restart has nodes start at once, of which some have a list and ask for its changes alone, and returns when the
 // last was told, beside the bound from capacity.
 func restart(nodes, stored, lines, changed int, patient bool, seed uint64) (last, bound time.Duration, calls int) {
-	l := &liste{rate: 200}
+	l := &slowRegistry{rate: 200}
 	rng := rand.New(rand.NewPCG(seed, 9))
 	var q events
 	told := 0
@@ -146,7 +146,7 @@
 	return last, bound, l.calls
 }
 
-// 300 nodes restart at once at a Boxliste of 200 lines a second: all are told within a small multiple of what its
+// 300 nodes restart at once at a registry of 200 lines a second: all are told within a small multiple of what its
 // capacity allows. With a fixed patience of 5 s calls that were given up keep it busy, and it takes far longer.
 func TestRestartOfAFleet(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/servers/endpoints/view_test.go
+++ b/internal/servers/endpoints/view_test.go
@@ -127,7 +127,7 @@
 	want(t, "nothing waits", changed(v.Due(time.Hour)), "[]")
 }
 
-// Two Boxlisten that disagree, asked in turns: what drains by one of them gets nothing but for the waits' ends.
+// Two registries that disagree, asked in turns: what drains by one of them gets nothing but for the waits' ends.
 func TestTwoThatDisagree(t *testing.T) {
 	v := fleet()
 	up := 0
