--- a/internal/rig/scale/fleet_test.go
+++ b/internal/rig/scale/fleet_test.go
@@ -1,8 +1,10 @@
 package scale
 
 import (
+	"context"
 	"errors"
 	"math"
+	"net"
 	"os"
 	"slices"
 	"strings"
@@ -47,6 +49,32 @@
 	}
 }
 
+// A run that is ended before its time, as by a signal, must end its children and hollow nodes: TestMain looks for what is left.
+func TestEndedRunLeavesNothing(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	set := FleetSettings{
+		Hollow: 6, Real: 2, Zones: 2, Settle: leastLength, Rest: time.Second, Load: time.Second, Rate: 10, Servers: 2,
+	}
+	_, err := RunFleet(ctx, set, func(part string) {
+		if part == "until all agree" { // all have started
+			cancel()
+		}
+	})
+	if !errors.Is(err, context.Canceled) {
+		t.Errorf("ended with %v", err)
+	}
+	for i := range set.Hollow {
+		at := hollowAddress(i)
+		socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
+		if err != nil {
+			t.Errorf("%v is not free: %v", at, err)
+			continue
+		}
+		socket.Close()
+	}
+}
+
 // A hollow node must cost the others what a real one costs them, or a run among hollow ones would tell nothing of the fleet:
 // the same fleet of 50 once all real, and once with five real nodes.
 func TestHollowNodesCountAsRealOnes(t *testing.T) {
