Leave a small fleet's first pauses after an overloaded call as short as they were

A probe: node n1's first call fails with 503 after 2.0 s, and its next begins 5.96 s later, 8.3 s after the start, while the drain at 1.53 s counts from 7.53 s on.

--- a/internal/servers/endpoints/pace.go
+++ b/internal/servers/endpoints/pace.go
@@ -13,9 +13,6 @@
 	backOffSoon  = 5 * time.Second
 	backOffHeld  = 1 // pauses beyond the first that are not doubled
 	backOffMost  = 48 * time.Second
-	// A call that waited for so long in the queue had as much work before it, and more may come in the same time from nodes
-	// that have yet to learn of it: the first pauses are a multiple of that wait.
-	backOffWaits = 4
 	// No pause is longer than this for each node of the tier, with a floor, as the nodes of other tiers call as well. A node
 	// that is alone in its tier has a shorter one.
 	backOffANode = 2 * time.Second
@@ -64,8 +61,7 @@
 // Overloaded takes a call that discovery had no capacity for, and that took so long. It returns the pause before the next.
 func (p *Pace) Overloaded(wall, took time.Duration) (pause time.Duration) {
 	doublings := min(max(0, p.failures-backOffHeld), 8)
-	first := max(p.first, min(backOffWaits*took, backOffSoon))
-	period := min(time.Duration(math.Exp2(doublings)*float64(first)), p.most)
+	period := min(time.Duration(math.Exp2(doublings)*float64(p.first)), p.most)
 	if took < queuedLeast {
 		p.failures += turnedAway
 	} else {
