Lengthen a small fleet's first pauses once discovery has been heard, not at a start

Change: a node that has not heard discovery since its start keeps the short first pause, all others have four times the wait, 5 s at the most.

--- a/internal/node/discovery/watch.go
+++ b/internal/node/discovery/watch.go
@@ -28,6 +28,8 @@
 	whole      bool    // the next call is for the whole list all the same
 	lost       bool    // the last call did not get through, or discovery is new
 
+	heard bool // discovery, since the watch began
+
 	newest *poll // nil: none is out
 	before *poll // one that was made anew: its answer may be on its way, and has counted as told since it was written
 	limit  *time.Timer
@@ -204,7 +206,7 @@
 			w.failed(e)
 			return
 		}
-		w.lost = false
+		w.lost, w.heard = false, true
 		w.limit.Reset(overlap)
 		w.pace.Answered()
 	default:
@@ -232,8 +234,9 @@
 	case w.pushed:
 		w.rest(agentPause)
 	case f.Reason == endpoints.Overloaded: // the module's own pause may end before
-		w.rest(w.pace.Overloaded(wallClock(), f.Took))
+		w.rest(w.pace.Overloaded(wallClock(), endpoints.Overload{Took: f.Took, Heard: w.heard}))
 	case f.Reason == endpoints.Reset:
+		w.heard = true // every change would have come on it
 		if pause := w.pace.Reset(); pause > 0 {
 			w.rest(pause)
 		}
--- a/internal/rig/scale/discovery.go
+++ b/internal/rig/scale/discovery.go
@@ -60,7 +60,8 @@
 			last = max(last, admission.At)
 			continue
 		}
-		call.at = admission.At + paces[call.node].Overloaded(admission.At, admission.At-call.at)
+		failed := endpoints.Overload{Took: admission.At - call.at, Heard: true}
+		call.at = admission.At + paces[call.node].Overloaded(admission.At, failed)
 		heap.Push(&calls, call)
 	}
 	return last
--- a/internal/servers/endpoints/pace.go
+++ b/internal/servers/endpoints/pace.go
@@ -13,6 +13,10 @@
 	backOffSoon  = 5 * time.Second
 	backOffHeld  = 1 // pauses beyond the first that are not doubled
 	backOffMost  = 48 * time.Second
+	// A call that waited for so long in the queue had as much work before it: the first pauses are a multiple of that wait, so that
+	// the queue of a small fleet can clear. A node that has not heard discovery since its start asks again as early as its turn
+	// lets it: what discovery has counts as told soon after the start.
+	backOffWaits = 4
 	// No pause is longer than this for each node of the tier, with a floor, as the nodes of other tiers call as well. A node
 	// that is alone in its tier has a shorter one.
 	backOffANode = 2 * time.Second
@@ -58,11 +62,21 @@
 	}
 }
 
-// Overloaded takes a call that discovery had no capacity for, and that took so long. It returns the pause before the next.
-func (p *Pace) Overloaded(wall, took time.Duration) (pause time.Duration) {
+// Overload is a call that discovery had no capacity for.
+type Overload struct {
+	Took  time.Duration
+	Heard bool // discovery has been heard since the node's start
+}
+
+// Overloaded takes an overload that ended at a time of the wall clock, and returns the pause before the next call.
+func (p *Pace) Overloaded(wall time.Duration, call Overload) (pause time.Duration) {
 	doublings := min(max(0, p.failures-backOffHeld), 8)
-	period := min(time.Duration(math.Exp2(doublings)*float64(p.first)), p.most)
-	if took < queuedLeast {
+	first := p.first
+	if call.Heard {
+		first = max(first, min(backOffWaits*call.Took, backOffSoon))
+	}
+	period := min(time.Duration(math.Exp2(doublings)*float64(first)), p.most)
+	if call.Took < queuedLeast {
 		p.failures += turnedAway
 	} else {
 		p.failures++
