--- a/internal/rig/scale/fleet.go
+++ b/internal/rig/scale/fleet.go
@@ -34,7 +34,7 @@
 	mostRate    = 1000
 )
 
-// SettingError is a setting of a run that is not allowed.
+// SettingError is a setting of a run or a report that is not allowed.
 type SettingError struct {
 	Key         string
 	Value       any
--- a/internal/rig/scale/report.go
+++ b/internal/rig/scale/report.go
@@ -123,33 +123,22 @@
 // MostNodes bounds the sizes of a report.
 const MostNodes = 20_000
 
-// SizeError is a size that a report can't measure.
-type SizeError struct {
-	Key         string
-	Value       int
-	Least, Most int
-}
-
-func (e *SizeError) Error() string {
-	return fmt.Sprintf("%s: %d is not allowed, %d to %d are, growing, four at the least", e.Key, e.Value, e.Least, e.Most)
-}
-
 // leastSizes is how many sizes a slope needs.
 const leastSizes = 4
 
-// Validate tells what is wrong with the sizes.
+// Validate tells what is wrong with the sizes: each list needs leastSizes of them, each larger than the one before.
 func (s *Sizes) Validate(zones int) error {
 	for _, list := range []struct {
 		key   string
 		sizes []int
 	}{{"membership", s.Membership}, {"state", s.State}, {"servers", s.Servers}, {"discovery", s.Discovery}, {"leases", s.Leases}} {
 		if len(list.sizes) < leastSizes {
-			return &SizeError{list.key + " (number of sizes)", len(list.sizes), leastSizes, MostNodes}
+			return &SettingError{list.key + " (number of sizes)", len(list.sizes), leastSizes, MostNodes}
 		}
 		before := 2*zones - 1 // two in each zone
 		for _, size := range list.sizes {
 			if size <= before || size > MostNodes {
-				return &SizeError{list.key, size, before + 1, MostNodes}
+				return &SettingError{list.key, size, before + 1, MostNodes}
 			}
 			before = size
 		}
--- a/internal/rig/scale/scale_test.go
+++ b/internal/rig/scale/scale_test.go
@@ -84,7 +84,7 @@
 	} {
 		sizes := good()
 		spoil(&sizes)
-		var wrong *SizeError
+		var wrong *SettingError
 		if err := sizes.Validate(zones); !errors.As(err, &wrong) || wrong.Key == "" || wrong.Most != MostNodes {
 			t.Errorf("%s: %v", name, err)
 		}
