Log requests, attempts, closes and calls to discovery with their reasons, at debug level

Need: the incident's logs do not tell how long a call to discovery was out, how much of an answer came, which version a node held, from when on it took its list for unconfirmed, or why a request was refused.

--log debug has, by the client's request id, each request, attempt (with the list's version and whether it was unconfirmed), outcome and answer with a typed reason; each close of a client's or server's connection with its reason; each call to discovery. Off by default: a nil trace, and one flag in the front. The deciding module names why it refuses or fails.

--- a/cmd/curlewring/main.go
+++ b/cmd/curlewring/main.go
@@ -29,6 +29,8 @@
 	files := node.Files{Config: os.Getenv("LB_CONFIG")}
 	flags.StringVar(&files.Operator, "operator", "", "the operators' `file` of timing rules by route")
 	flags.StringVar(&files.Own, "settings", "", "the node's own settings `file`")
+	level := slog.LevelInfo
+	flags.TextVar(&level, "log", level, "the least `level` that is logged; debug has every request, attempt and call to discovery")
 	checkOnly := flags.Bool("check", false, "check the files, print what is wrong, and end with 0 or 2")
 	flags.Parse(os.Args[1:])
 	if flags.NArg() > 0 {
@@ -38,7 +40,7 @@
 	if *checkOnly {
 		os.Exit(check(files, os.Stdout))
 	}
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
 	if err := run(files, log); err != nil {
 		fmt.Fprintln(os.Stderr, "curlewring:", err)
 		os.Exit(1)
--- a/decide/api.go
+++ b/decide/api.go
@@ -218,6 +218,17 @@
 	Spoilt // an answer that is none; it came, so neither server nor connection was dead
 )
 
+// String names the result, as logs have it.
+func (r Result) String() string {
+	names := [...]string{
+		"served", "error", "turned away", "timed out", "unconnected", "broken", "cancelled", "not sent", "spoilt",
+	}
+	if r < 0 || int(r) >= len(names) {
+		return "unknown"
+	}
+	return names[r]
+}
+
 // Outcome ends one attempt.
 type Outcome struct {
 	Request uint64
@@ -250,8 +261,8 @@
 // The actions and the fields of Action that each uses.
 const (
 	Send    Kind = iota // Request, Server, Wait (time-out of the attempt)
-	Refuse              // Request, Wait (retry-after; 0: no advice)
-	Fail                // Request
+	Refuse              // Request, Wait (retry-after; 0: no advice), Reason
+	Fail                // Request, Reason
 	Cancel              // Request, Attempt
 	Probe               // Server
 	Watch               // ask for changes of the list from now on
@@ -262,6 +273,35 @@
 	Log                 // Text
 )
 
+// Reason says why a request is refused or failed.
+type Reason int
+
+// The reasons.
+const (
+	NoReason         Reason = iota
+	Crowded                 // admission: response times or the calls here are too high for its worth
+	NoServer                // no server could take it for as long as it could wait
+	OutOfTime               // its time is up
+	OutOfAttempts           // it has had as many attempts as it may
+	OutOfRetryBudget        // the node makes too many retries
+	MayHaveRun              // it must not run twice, and an attempt may have run
+	KeyForgotten            // servers may have forgotten its key, and an attempt may have run
+	RouteForbids            // the operators' rule wants no attempt after such an outcome
+	UnknownClass            // the settings have no such class
+)
+
+// String names the reason, as logs have it.
+func (r Reason) String() string {
+	names := [...]string{
+		"none", "crowded", "no server", "out of time", "out of attempts", "out of retry budget", "may have run",
+		"key forgotten", "route forbids", "unknown class",
+	}
+	if r < 0 || int(r) >= len(names) {
+		return "unknown"
+	}
+	return names[r]
+}
+
 // Action is something the node must do.
 type Action struct {
 	Kind    Kind
@@ -272,6 +312,7 @@
 	Within  time.Duration // Send: its last byte leaves within this, or it is not sent; 0: whenever
 	Token   uint64
 	Text    string
+	Reason  Reason // Refuse, Fail
 }
 
 // Cold is a cold server of this node's subset, for nodes that pool what they may send to it.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -375,7 +375,12 @@
 }
 
 // doubting tells whether drains that this node has not heard of may count as told.
-func (b *Balancer) doubting() bool { return b.unconfirmed > 0 && b.now >= b.unconfirmed }
+func (b *Balancer) doubting() bool { return b.Unconfirmed(b.now) }
+
+// Unconfirmed tells whether changes of the list may count as told to this node that it has not heard of.
+func (b *Balancer) Unconfirmed(now time.Duration) bool {
+	return b.unconfirmed > 0 && now >= b.unconfirmed
+}
 
 // denied tells whether the server turned work away since it or discovery proved it good.
 func (b *Balancer) denied(s *server) bool { return s.deniedAt > max(s.provenAt, b.heard) }
@@ -403,7 +408,7 @@
 		return b.out // told twice
 	}
 	if r.Class < 0 || r.Class >= len(b.set.Classes) {
-		b.act(Action{Kind: Fail, Request: r.ID})
+		b.act(Action{Kind: Fail, Request: r.ID, Reason: UnknownClass})
 		return b.out
 	}
 	class := &b.set.Classes[r.Class]
@@ -441,7 +446,7 @@
 		if b.crowding() > 1 {
 			b.limited, b.room.wanted = true, true
 		}
-		b.act(Action{Kind: Refuse, Request: r.ID, Wait: b.retryAfter(bounds, aimLeft)})
+		b.act(Action{Kind: Refuse, Request: r.ID, Wait: b.retryAfter(bounds, aimLeft), Reason: Crowded})
 		b.release(c)
 		return b.out
 	}
@@ -584,11 +589,11 @@
 func (b *Balancer) send(c *call) {
 	left := c.until - b.now
 	if left <= 0 || b.forgotten(c, b.now) { // also while it is held
-		b.end(c)
+		b.end(c, b.outOfTime(c, left))
 		return
 	}
 	s := b.pick(c)
-	if s == nil {
+	if c.held = s == nil; c.held {
 		if c.open == 0 { // a second copy does not wait
 			b.act(Action{Kind: After, Token: c.ID, Wait: min(holdStep, left)})
 		}
@@ -623,6 +628,17 @@
 	}
 }
 
+// outOfTime is why a call that can wait no longer gets no further attempt.
+func (b *Balancer) outOfTime(c *call, left time.Duration) Reason {
+	switch {
+	case c.held:
+		return NoServer
+	case left <= 0:
+		return OutOfTime
+	}
+	return KeyForgotten
+}
+
 // forgotten tells whether the servers may have dropped a keyed call's key by then, some time kept in hand.
 func (b *Balancer) forgotten(c *call, then time.Duration) bool {
 	class := &b.set.Classes[c.Class]
@@ -1039,16 +1055,31 @@
 	last := c.attempts[len(c.attempts)-1].result
 	free := last == Unconnected
 	allowed := c.bounds.RetryOn == 0 || c.bounds.RetryOn&last.Bit() != 0
-	stop := len(c.attempts) >= b.most(c) || b.now >= c.until || !free && b.retryBudget < 1 ||
-		c.ran && class.Effect == Once || !allowed
+	stop := NoReason
+	switch {
+	case len(c.attempts) >= b.most(c):
+		stop = OutOfAttempts
+	case b.now >= c.until:
+		stop = OutOfTime
+	case !free && b.retryBudget < 1:
+		stop = OutOfRetryBudget
+	case c.ran && class.Effect == Once:
+		stop = MayHaveRun
+	case !allowed:
+		stop = RouteForbids
+	}
 	wait := time.Duration(0)
-	if !stop && c.bounds.BackoffFirst > 0 {
+	if stop == NoReason && c.bounds.BackoffFirst > 0 {
 		// What would come too late after the wait is given up now.
 		wait = b.backoff(c)
-		stop = b.now+wait >= c.until || b.forgotten(c, b.now+wait)
+		if b.now+wait >= c.until {
+			stop = OutOfTime
+		} else if b.forgotten(c, b.now+wait) {
+			stop = KeyForgotten
+		}
 	}
-	if stop {
-		b.end(c)
+	if stop != NoReason {
+		b.end(c, stop)
 		return
 	}
 	if !free {
@@ -1064,7 +1095,7 @@
 
 // end gives the final answer. A refusal is a promise that trying again is harmless, so it is given only
 // where that is true.
-func (b *Balancer) end(c *call) {
+func (b *Balancer) end(c *call, why Reason) {
 	class := &b.set.Classes[c.Class]
 	harmless := !c.ran || class.Effect == Repeatable ||
 		class.Effect == Keyed && class.Group == GroupAll && !b.forgotten(c, b.now)
@@ -1073,9 +1104,9 @@
 		if c.ran && class.Effect == Keyed { // the client must be back while its key is known
 			wait = min(wait, class.KeyTTL*9/10-(b.now-c.ranAt))
 		}
-		b.act(Action{Kind: Refuse, Request: c.ID, Wait: wait})
+		b.act(Action{Kind: Refuse, Request: c.ID, Wait: wait, Reason: why})
 	} else {
-		b.act(Action{Kind: Fail, Request: c.ID})
+		b.act(Action{Kind: Fail, Request: c.ID, Reason: why})
 	}
 	b.drop(c, b.aim(&c.Request))
 	b.release(c)
--- a/decide/rows.go
+++ b/decide/rows.go
@@ -66,6 +66,7 @@
 	resume         time.Duration // no further attempt before this
 	attempts       []attempt
 	open           int           // attempts without an outcome
+	held           bool          // no server may take it at the moment
 	ran            bool          // an attempt may have run ...
 	ranAt          time.Duration // ... sent first at this time ...
 	ranOn          *server       // ... to this server
--- a/internal/node/discovery/discovery.go
+++ b/internal/node/discovery/discovery.go
@@ -244,7 +244,7 @@
 		return nil, fmt.Errorf("discovery: the answer of %s to /v1/endpoints%s is larger than %d bytes", s.address, query, tooLarge.Limit)
 	}
 	if err != nil {
-		return nil, fmt.Errorf("discovery: reading the list: %w", err)
+		return nil, fmt.Errorf("discovery: reading the list after %d bytes: %w", len(text), err)
 	}
 	if resp.StatusCode != http.StatusOK {
 		return nil, statusError(resp.Status)
--- a/internal/node/discovery/watch.go
+++ b/internal/node/discovery/watch.go
@@ -127,9 +127,11 @@
 		query := fmt.Sprintf("?since=%d&timeout_ms=%d", *p.since, wait.Milliseconds())
 		call = func() (*endpoints.List, error) { return at.call(ctx, query, patience) }
 	}
+	w.log.Debug("call to discovery", "whole", p.whole, "since", generation(p.since), "wait", p.wait)
 	w.out.Go(func() {
 		defer cancel()
 		l, err := call()
+		w.log.Debug("call to discovery ended", "since", generation(p.since), "took", time.Since(p.begun), "err", err)
 		select {
 		case w.ended <- ended{p, l, err}:
 		case <-ctx.Done(): // called off
@@ -244,5 +246,13 @@
 	w.report(Update{Failure: f})
 }
 
+// generation is that of a list as logs have it; 0: none.
+func generation(since *uint64) uint64 {
+	if since == nil {
+		return 0
+	}
+	return *since
+}
+
 // wallClock is the time by which the nodes of a fleet take turns.
 func wallClock() time.Duration { return time.Duration(time.Now().UnixNano()) }
--- a/internal/node/fakes_test.go
+++ b/internal/node/fakes_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -55,7 +56,13 @@
 // startNode runs a node that knows these servers from its last life.
 func startNode(t *testing.T, c *Config) *testNode {
 	t.Helper()
-	n, err := New(c, Quiet())
+	return startLogging(t, c, Quiet())
+}
+
+// startLogging does so with a log.
+func startLogging(t *testing.T, c *Config, log *slog.Logger) *testNode {
+	t.Helper()
+	n, err := New(c, log)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/front/end.go
+++ b/internal/node/front/end.go
@@ -30,7 +30,7 @@
 			return true
 		}
 		if c := s.table.at(i); !s.looks(i, c) {
-			s.drop(i, c)
+			s.drop(i, c, closeLeaving)
 		}
 	}
 }
@@ -42,7 +42,7 @@
 			if c.state == open {
 				s.set.Handler.Gone(c.work.open)
 			}
-			s.drop(i, c)
+			s.drop(i, c, closeEnded)
 		}
 	}
 	s.openCount.Store(0)
--- a/internal/node/front/read.go
+++ b/internal/node/front/read.go
@@ -77,7 +77,10 @@
 }
 
 // drop ends a connection, whatever it is doing; its open request is the caller's.
-func (s *Server) drop(i int32, c *conn) {
+func (s *Server) drop(i int32, c *conn, why closeReason) {
+	if s.tracing {
+		s.set.Log.Debug("client connection closed", "connection", i, "reason", string(why))
+	}
 	s.release(c)
 	s.wheel.Cancel(i)
 	s.hold.Gone(i)
@@ -93,7 +96,7 @@
 	if c.state == open {
 		s.set.Handler.Gone(c.work.open)
 	}
-	s.drop(i, c)
+	s.drop(i, c, closeClientLeft)
 }
 
 // readable takes what has come on a connection, as far as its state wants it.
@@ -394,7 +397,7 @@
 		}
 		return
 	}
-	s.drop(i, c)
+	s.drop(i, c, closeNoRequest)
 }
 
 // linger drops what comes behind a last answer, so that no reset takes the answer
@@ -408,7 +411,7 @@
 			return
 		}
 		if err != nil {
-			s.drop(i, c)
+			s.drop(i, c, closeLingered)
 			return
 		}
 	}
--- a/internal/node/front/server.go
+++ b/internal/node/front/server.go
@@ -99,6 +99,7 @@
 	emfile    bool // told once
 	wary      bool // the process has just stood still
 	freed     bool // a connection has ended or come to rest in this turn
+	tracing   bool // each close is logged
 	seed      maphash.Seed
 	stats     Stats
 	now       time.Duration
@@ -139,8 +140,9 @@
 		set: c, wheel: wheel.New(timerTick, now), now: now,
 		hold:   hold.New(hold.Settings{Policy: c.Policy, Worths: c.Worths, Newcomer: Newcomer, Habits: c.Habits}, c.Rules, now),
 		ledger: pressure.New(c.Memory), scratch: make([]byte, readSize),
-		seed:  maphash.MakeSeed(),
-		steps: make(chan func()), ended: make(chan struct{}), answer: make(chan struct{}, 1),
+		seed:    maphash.MakeSeed(),
+		tracing: c.Log != nil && c.Log.Enabled(context.Background(), slog.LevelDebug),
+		steps:   make(chan func()), ended: make(chan struct{}), answer: make(chan struct{}, 1),
 	}
 }
 
@@ -396,7 +398,7 @@
 	s.stats.Accepted++
 	if err := s.set.Transport.Open(socket, s.table.token(i)); err != nil {
 		s.set.Log.Warn("a connection can't be waited for", "err", err)
-		s.drop(i, c)
+		s.drop(i, c, closeTransport)
 	}
 }
 
@@ -441,7 +443,7 @@
 			continue
 		}
 		s.stats.MadeRoom++
-		s.drop(i, c)
+		s.drop(i, c, closeForRoom)
 		return hold.Found
 	}
 }
@@ -471,9 +473,9 @@
 			s.late(i, c)
 		case writing:
 			s.stats.Cut++
-			s.drop(i, c)
+			s.drop(i, c, closeNotRead)
 		case lingering:
-			s.drop(i, c)
+			s.drop(i, c, closeLingered)
 		}
 	}
 	if s.expired.len() > 0 {
@@ -499,7 +501,7 @@
 			continue
 		}
 		s.stats.Expired++
-		s.drop(i, c)
+		s.drop(i, c, closeIdle)
 	}
 	return false
 }
--- a/internal/node/front/write.go
+++ b/internal/node/front/write.go
@@ -79,7 +79,7 @@
 	s.out = s.encode(s.out[:0], a, w.head, c.closing)
 	n, err := s.set.Transport.Write(c.socket, s.out)
 	if err != nil && !errors.Is(err, ErrAgain) {
-		s.drop(i, c)
+		s.drop(i, c, closeNotWritten)
 		return
 	}
 	s.book(w, 1, cap(w.buf))
@@ -93,7 +93,7 @@
 		}
 		s.wheel.Arm(i, until)
 		if s.set.Transport.WantWrite(c.socket, s.table.token(i)) != nil {
-			s.drop(i, c)
+			s.drop(i, c, closeTransport)
 		}
 	} else {
 		s.answered(i, c)
@@ -114,12 +114,12 @@
 		w.out = w.out[n:]
 		if errors.Is(err, ErrAgain) || err == nil && n == 0 {
 			if s.set.Transport.WantWrite(c.socket, s.table.token(i)) != nil {
-				s.drop(i, c)
+				s.drop(i, c, closeTransport)
 			}
 			return
 		}
 		if err != nil {
-			s.drop(i, c)
+			s.drop(i, c, closeNotWritten)
 			return
 		}
 	}
@@ -133,7 +133,7 @@
 	w := c.work
 	if c.closing {
 		if c.crowded && !c.unread && len(w.buf) == 0 { // its descriptor is wanted at once
-			s.drop(i, c)
+			s.drop(i, c, closeForRoom)
 			return
 		}
 		// A lingering close (RFC 9112, 9.6): closing over bytes unread would reset the connection, and take the answer
--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -34,6 +34,7 @@
 	l.told = m.Generation
 	l.confirmation.Answered(l.now)
 	u := l.view.Apply(l.now, m)
+	l.trace.listed(m, len(u.Changes))
 	l.strange(u.Odd)
 	l.signs.Answered(l.now, len(u.Changes) > 0)
 	if u.Again {
@@ -70,6 +71,7 @@
 	if l.set.MustAsk { // an agent that is silent has learnt nothing either
 		m.Confirmed = l.confirmation.Failed(l.now, f)
 	}
+	l.trace.unlisted(f, l.told, m.Confirmed-l.now)
 	l.carryOut(l.balancer.Members(l.now, m, l.actions[:0]))
 }
 
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -119,6 +119,7 @@
 	upstream  *upstream.Pool
 	discovery *discovery.Discovery
 	log       *slog.Logger
+	trace     *trace                       // nil: off
 	budgets   *budgets                     // nil: off
 	first     *routes.Table                // those of the start
 	answer    func(*pending, answer)       // passes a final answer on; does not wait
@@ -166,7 +167,7 @@
 func newLoop(ctx context.Context, c *Config, clock clock.Clock, up *upstream.Pool, log *slog.Logger) *loop {
 	return &loop{
 		ctx:   ctx,
-		clock: clock, set: &c.Settings, upstream: up, log: log, first: c.Routes,
+		clock: clock, set: &c.Settings, upstream: up, log: log, trace: newTrace(log), first: c.Routes,
 		balancer:     decide.New(c.Settings, c.Seed, clock.Now()),
 		events:       make(chan any, 256),
 		pending:      map[uint64]*pending{},
@@ -321,6 +322,7 @@
 	if l.budgets != nil {
 		l.budgets.open(l.now, p)
 	}
+	l.trace.arrived(p)
 	l.carryOut(l.balancer.Request(l.now, p.request, l.actions[:0]))
 	if !p.answered {
 		l.at(p.deadline-safetyMargin, timer{overdue: p})
@@ -340,16 +342,17 @@
 // expire fails a request in the module's place.
 func (l *loop) expire(p *pending) {
 	if !p.answered {
-		l.finish(p, answer{ending: overdue})
+		l.finish(p, answer{ending: overdue}, decide.OutOfTime)
 		l.leave(p)
 	}
 }
 
 // finish gives a request its final answer, unless it has one.
-func (l *loop) finish(p *pending, a answer) {
+func (l *loop) finish(p *pending, a answer, why decide.Reason) {
 	if p == nil || p.answered {
 		return
 	}
+	l.trace.answered(p, a.ending, why)
 	l.conclude(p)
 	if l.budgets != nil {
 		a.spent = l.budgets.close(p.graph, a.ending, p.ran)
@@ -375,6 +378,7 @@
 
 // end takes the outcome of an attempt.
 func (l *loop) end(e ended) {
+	l.trace.ended(&e)
 	p := e.attempt.pending
 	p.out--
 	below := 0
@@ -383,7 +387,7 @@
 		p.ran = p.ran || e.Result != decide.Full && e.Result != decide.Unconnected && e.Result != decide.NotSent
 	}
 	if e.Result == decide.Served {
-		l.finish(p, answer{ending: served, response: e.Response})
+		l.finish(p, answer{ending: served, response: e.Response}, decide.NoReason)
 	}
 	final := p.answered
 	l.forget(p)
@@ -403,9 +407,9 @@
 		case decide.Send:
 			l.send(p, a)
 		case decide.Refuse:
-			l.finish(p, answer{ending: refused, retryAfter: a.Wait})
+			l.finish(p, answer{ending: refused, retryAfter: a.Wait}, a.Reason)
 		case decide.Fail:
-			l.finish(p, answer{ending: failed})
+			l.finish(p, answer{ending: failed}, a.Reason)
 		case decide.Cancel:
 			if p != nil && a.Attempt < len(p.attempts) {
 				p.attempts[a.Attempt].Cancel()
@@ -448,6 +452,7 @@
 		l.unsent = append(l.unsent, ended{attempt: t, Outcome: upstream.Outcome{Result: decide.NotSent, Closed: true}})
 		return
 	}
+	l.trace.sent(p, t, l.told, l.balancer.Unconfirmed(l.now))
 	sent, call, more := l.now, p.call, ""
 	if l.budgets != nil {
 		more = l.budgets.send(l.now, p.graph)
--- /dev/null
+++ b/internal/node/trace.go
@@ -0,0 +1,72 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"curlewring/decide"
+	"curlewring/internal/node/upstream"
+	"curlewring/internal/servers/endpoints"
+)
+
+// trace logs what the loop does, at the debug level: each request by the id that its client gave it, its attempts, and what
+// the node believes of its list of servers. Its methods do nothing on a nil trace.
+type trace struct{ log *slog.Logger }
+
+// newTrace returns nil unless debug lines are wanted.
+func newTrace(log *slog.Logger) *trace {
+	if log == nil || !log.Enabled(context.Background(), slog.LevelDebug) {
+		return nil
+	}
+	return &trace{log}
+}
+
+func (t *trace) arrived(p *pending) {
+	if t != nil {
+		t.log.Debug("request", "txn", p.txn, "class", p.request.Class, "wait", p.request.TTL)
+	}
+}
+
+func (t *trace) sent(p *pending, a *attempt, version uint64, unconfirmed bool) {
+	if t != nil {
+		t.log.Debug("attempt", "txn", p.txn, "number", a.number, "server", a.server, "version", version, "unconfirmed", unconfirmed)
+	}
+}
+
+func (t *trace) ended(e *ended) {
+	if t != nil {
+		t.log.Debug("outcome", "txn", e.attempt.pending.txn, "number", e.number, "server", e.server, "result", e.Result.String(),
+			"took", e.elapsed, "dial", e.Dial, "closed", e.Closed)
+	}
+}
+
+func (t *trace) answered(p *pending, end ending, why decide.Reason) {
+	if t != nil {
+		names := [...]string{served: "served", refused: "refused", failed: "failed", overdue: "overdue"}
+		t.log.Debug("answer", "txn", p.txn, "ending", names[end], "reason", why.String(), "attempts", len(p.attempts))
+	}
+}
+
+func (t *trace) listed(l *endpoints.List, changes int) {
+	if t != nil {
+		t.log.Debug("list", "version", l.Generation, "whole", l.Whole, "entries", len(l.Entries), "changes", changes)
+	}
+}
+
+func (t *trace) unlisted(f endpoints.Failure, version uint64, confirmed time.Duration) {
+	if t != nil {
+		t.log.Debug("no list", "reason", f.Reason.String(), "took", f.Took, "wait", f.Wait, "version", version,
+			"confirmed_for", confirmed)
+	}
+}
+
+// closes returns what logs why connections to servers are closed; nil if nobody wants to know.
+func (t *trace) closes() func(server string, why upstream.CloseReason) {
+	if t == nil {
+		return nil
+	}
+	return func(server string, why upstream.CloseReason) {
+		t.log.Debug("server connection closed", "server", server, "reason", string(why))
+	}
+}
--- a/internal/node/upstream/exchange.go
+++ b/internal/node/upstream/exchange.go
@@ -38,7 +38,7 @@
 	}
 	o, keep := u.exchange(t, c, p, q, more, by, until)
 	if keep = keep && u.put(p, c); !keep {
-		c.close()
+		u.discard(c, p.ID, CloseUsed)
 	}
 	o.Closed, o.Dial = !keep, dialled
 	return o
--- a/internal/node/upstream/pool.go
+++ b/internal/node/upstream/pool.go
@@ -66,6 +66,7 @@
 	connectTimeout time.Duration
 	idleFor        time.Duration // connections are closed when idle for this
 	untidy         atomic.Bool   // a server has sent more than its answer
+	onClose        func(server string, why CloseReason)
 
 	mu     sync.Mutex
 	idle   map[string][]*conn // by server; the last was used last
@@ -93,6 +94,32 @@
 	c.sockets.give()
 }
 
+// CloseReason is why a connection to a server is closed, as logs have it.
+type CloseReason string
+
+// The reasons.
+const (
+	CloseExpired  CloseReason = "idle for too long"
+	CloseMoved    CloseReason = "its server has another address"
+	CloseEnded    CloseReason = "the server ended it, or sent what nobody asked for"
+	CloseUsed     CloseReason = "its attempt left it unusable"
+	CloseShut     CloseReason = "its server gets nothing new"
+	CloseForRoom  CloseReason = "room for another"
+	CloseNodeEnds CloseReason = "the node ends"
+)
+
+// OnClose has a function called for each connection that is closed; it must not call the pool. It is set before the first
+// attempt.
+func (u *Pool) OnClose(f func(server string, why CloseReason)) { u.onClose = f }
+
+// discard closes a connection to a server, and tells why.
+func (u *Pool) discard(c *conn, server string, why CloseReason) {
+	if u.onClose != nil {
+		u.onClose(server, why)
+	}
+	c.close()
+}
+
 // idleMargin is how long before the server's own time a connection is closed,
 // lest a request cross the server's closing on the way.
 const idleMargin = 250 * time.Millisecond
@@ -131,7 +158,11 @@
 		}
 		u.idle[p.ID] = slices.Delete(u.idle[p.ID], at, at+1)
 		u.unarm(c)
-		if c.address == p.Address && rested < u.idleFor {
+		why := CloseExpired
+		switch {
+		case c.address != p.Address:
+			why = CloseMoved
+		case rested < u.idleFor:
 			alive, more := c.look()
 			if alive {
 				return c
@@ -139,8 +170,9 @@
 			if more {
 				u.untidy.Store(true)
 			}
+			why = CloseEnded
 		}
-		c.close()
+		u.discard(c, p.ID, why)
 	}
 	return nil
 }
@@ -166,7 +198,7 @@
 	defer u.mu.Unlock()
 	for _, c := range u.idle[id] {
 		u.unarm(c)
-		c.close()
+		u.discard(c, id, CloseShut)
 	}
 	delete(u.idle, id)
 }
@@ -213,7 +245,7 @@
 				}
 			}
 			u.unarm(c)
-			c.close()
+			u.discard(c, c.server, CloseExpired)
 		}
 		done := len(u.due) < mostIdleClosed
 		u.mu.Unlock()
@@ -231,7 +263,7 @@
 	for id, stack := range u.idle {
 		for _, c := range stack {
 			u.unarm(c)
-			c.close()
+			u.discard(c, id, CloseNodeEnds)
 		}
 		delete(u.idle, id)
 	}
@@ -266,7 +298,7 @@
 		return false
 	}
 	u.unarm(u.idle[oldest][0])
-	u.idle[oldest][0].close()
+	u.discard(u.idle[oldest][0], oldest, CloseForRoom)
 	u.idle[oldest] = u.idle[oldest][1:]
 	return true
 }
--- a/internal/servers/endpoints/confirm.go
+++ b/internal/servers/endpoints/confirm.go
@@ -26,6 +26,15 @@
 	Reset                     // the connection of an open long poll was ended: the network delivers
 )
 
+// String names the reason, as logs have it.
+func (r Reason) String() string {
+	names := [...]string{"unreachable", "overloaded", "silent", "reset"}
+	if r < 0 || int(r) >= len(names) {
+		return "unknown"
+	}
+	return names[r]
+}
+
 // Failure is a call to discovery that brought no list.
 type Failure struct {
 	Reason Reason
