Reproduce the incident: a lost zone of 800 boxes returns while discovery is busy (red)

Need: the incident shows with thousands of servers alone; the lab ended at 200 boxes and could not show it for two further reasons. Its judge passed over whatever counts as told to a process that had been restarted, and it gave a restarted node the list of now in place of the one that it last had. Both hid the fault.

The lab now plays 3,200 boxes; a loss has a notice of its own; changes become visible in steps; a restarted node gets the list that was last written to it; the judge holds a restarted process to what counts as told from 2 s after its start on (stricter: it was never held to it).

--- a/cmd/curlewctl/lab.go
+++ b/cmd/curlewctl/lab.go
@@ -49,7 +49,7 @@
 const (
 	mostRate  = 20000
 	mostFor   = 30 * time.Minute
-	mostBoxes = 200
+	mostBoxes = 3200
 	mostNodes = 64
 )
 
--- a/internal/rig/lab/lab.go
+++ b/internal/rig/lab/lab.go
@@ -30,6 +30,7 @@
 	Sockets  int
 	Budgets  bool          // nodes share budgets of attempts
 	Copies   bool          // the platform lets attempts of a request overlap
+	Debug    bool          // nodes log every request, attempt and call to discovery
 	Advice   time.Duration // the platform's longest Retry-After; 0: none
 	Idle     int           // connections that are held beside the traffic, over all nodes
 	Wake     time.Duration // each of them asks again so often, while the traffic runs; 0: never
@@ -204,6 +205,9 @@
 	if l.options.Operator != "" {
 		command = append(command, "--operator", l.options.Operator)
 	}
+	if l.options.Debug {
+		command = append(command, "--log", "debug")
+	}
 	if l.options.Past != nil && l.options.Past.Arm == Doubts || l.between != nil && s.Tier == 0 {
 		command = append(command, "--settings", l.ownPath(s.Name))
 	}
@@ -331,6 +335,7 @@
 	if err := p.start(); err != nil {
 		return err
 	}
+	l.Fleet.Judge.Started(l.Fleet.Clock.Now(), p.name)
 	if l.onStart != nil {
 		l.onStart(p)
 	}
--- /dev/null
+++ b/internal/rig/lab/zone_test.go
@@ -0,0 +1,77 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"curlewring/internal/rig/registry"
+	"curlewring/internal/rig/standin"
+)
+
+// zoneLoss is a fleet that loses a zone, its nodes included, for a few seconds. Discovery lists that late, as for a machine
+// that has vanished, and must write each change to every node: the larger the zone, the longer that takes.
+type zoneLoss struct {
+	boxes int
+	nodes int
+	lines float64 // that discovery can write in a second
+}
+
+const (
+	zoneLostAt   = time.Second
+	zoneLostFor  = 5 * time.Second
+	zoneNoticed  = 4 * time.Second // it is listed as gone so long after the loss
+	zoneReturned = 2 * time.Second // and each box as serving so long after its start
+	leastServed  = 0.75            // of the requests: a node that sends nothing keeps every rule
+)
+
+// play loses the zone and checks from outside that the rules hold.
+func (z zoneLoss) play(t *testing.T) {
+	t.Helper()
+	o := options()
+	o.Nodes, o.Plan.Boxes = z.nodes, z.boxes
+	o.Plan.Registry = registry.Settings{} // until all are ready
+	o.Plan.LossNotice, o.Plan.Notice, o.Plan.PublishEvery = zoneNoticed, zoneReturned, 400*time.Millisecond
+	o.Traffic.Rate, o.Traffic.For = 240, zoneLostAt+zoneLostFor+zoneNoticed+8*time.Second
+	lost := o.Plan.Sites[0]
+	o.Faults = append(o.Faults, standin.Fault{Kind: "crash", Site: lost, At: zoneLostAt, For: zoneLostFor})
+	for i := 0; i < z.nodes; i += len(o.Plan.Sites) { // the nodes of that site
+		o.Faults = append(o.Faults, standin.Fault{Kind: "kill", Node: fmt.Sprint(i), At: zoneLostAt, For: zoneLostFor})
+	}
+	l, err := Open(context.Background(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	capacity := registry.Settings{LinesPerSecond: z.lines, CallLines: callLines, QueueTimeout: 2 * time.Second, Overbook: 2}
+	if err := l.Fleet.Discovery.Limit(capacity); err != nil {
+		t.Fatal(err)
+	}
+	var samples []callSample
+	r, err := l.Run(context.Background(), func(now Progress) { samples = append(samples, sampleCalls(l.Fleet.Discovery, now.At)) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range samples {
+		t.Log(s)
+	}
+	t.Logf("%d boxes, %d nodes: %.3f served, %d breaches", z.boxes, z.nodes, service(r), len(r.Breaches))
+	check(t, r)
+	if part := service(r); part < leastServed {
+		t.Errorf("%.3f served, want %.2f", part, leastServed)
+	}
+}
+
+// A zone of hundreds of boxes is lost, and is back by the time that it counts as gone. Its nodes start with a list that is as
+// old as the loss, and discovery is busy telling the others: what they can't have heard of counts as told to them all the
+// same. Boxes that are back serve whoever asks, so that they do proves nothing.
+func TestZoneReturnsToALargeFleet(t *testing.T) {
+	zoneLoss{boxes: 1600, nodes: 24, lines: 2400}.play(t)
+}
+
+// The same with a few boxes, of which every node hears in time: that is why it takes thousands to show.
+func TestZoneReturnsToASmallFleet(t *testing.T) {
+	t.Parallel()
+	zoneLoss{boxes: 48, nodes: 24, lines: 2400}.play(t)
+}
--- a/internal/rig/standin/discovery.go
+++ b/internal/rig/standin/discovery.go
@@ -53,6 +53,7 @@
 	mu           sync.Mutex
 	changes      []change      // version n is changes[n-1]
 	publishDelay time.Duration // from a change to its publication
+	publishEvery time.Duration // changes become visible at multiples of this; 0: each by itself
 	capacity     registry.Settings
 	queue        *registry.Queue // of the work that calls of all nodes cost
 	down         bool
@@ -74,7 +75,7 @@
 // newDiscovery returns a service with an empty list, as a plan has it.
 func newDiscovery(clock Clock, j *judge.Judge, p *Plan) *Discovery {
 	d := &Discovery{
-		clock: clock, judge: j, publishDelay: p.Notice, pushed: p.Pushed, changed: make(chan struct{}),
+		clock: clock, judge: j, publishDelay: p.Notice, publishEvery: p.PublishEvery, pushed: p.Pushed, changed: make(chan struct{}),
 	}
 	if p.OutageAnswers {
 		d.outageError = p.Registry.QueueTimeout
@@ -136,11 +137,22 @@
 
 // Put publishes a box's state after the usual delay, or at once.
 func (d *Discovery) Put(e entry, atOnce bool) {
+	delay := time.Duration(0)
+	if !atOnce {
+		d.mu.Lock()
+		delay = d.publishDelay
+		d.mu.Unlock()
+	}
+	d.PutAfter(e, delay)
+}
+
+// PutAfter publishes a box's state after a delay.
+func (d *Discovery) PutAfter(e entry, delay time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	at := d.clock.Now()
-	if !atOnce {
-		at += d.publishDelay
+	at := d.clock.Now() + delay
+	if every := d.publishEvery; every > 0 && delay > 0 {
+		at = (at + every - 1) / every * every
 	}
 	if n := len(d.changes); n > 0 {
 		at = max(at, d.changes[n-1].visible) // in order
@@ -284,11 +296,15 @@
 	return gone
 }
 
-// known is the whole list as of now, as a node keeps it from its last life.
-func (d *Discovery) known() json.RawMessage {
+// known is the whole list as a node last had it, and keeps it from its last life: up to what was written to it.
+func (d *Discovery) known(node string) json.RawMessage {
+	e := d.endpointOf(node)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	n, _ := d.version(d.clock.Now())
+	if had := e.counts.Version; had > 0 {
+		n = min(n, had)
+	}
 	list := listAnswer{Generation: n, Whole: true, Instances: withoutDeleted(d.upTo(0, n))}
 	text, err := list.encode()
 	if err != nil {
--- a/internal/rig/standin/fault.go
+++ b/internal/rig/standin/fault.go
@@ -257,7 +257,7 @@
 		case "crash":
 			b.set(down, 1)
 			b.close()
-			f.publish(b, "DELETED", false)
+			f.lost(b)
 		case "drain":
 			f.publish(b, "DRAINING", false)
 			b.drain(true)
--- a/internal/rig/standin/fleet.go
+++ b/internal/rig/standin/fleet.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -131,14 +132,24 @@
 
 // publish puts a box's state on the list of its tier.
 func (f *Fleet) publish(b *Box, lifecycle string, atOnce bool) {
+	f.discoveryOf(b.Tier).Put(f.entryOf(b, lifecycle), atOnce)
+}
+
+// lost publishes that a box's process has ended without a word.
+func (f *Fleet) lost(b *Box) {
+	f.discoveryOf(b.Tier).PutAfter(f.entryOf(b, "DELETED"), cmp.Or(f.Plan.LossNotice, f.Plan.Notice))
+}
+
+// entryOf is a box as its tier's list has it.
+func (f *Fleet) entryOf(b *Box, lifecycle string) entry {
 	started := int64(0)
 	if b.started > 0 {
 		started = f.Clock.Unix(b.started)
 	}
-	f.discoveryOf(b.Tier).Put(entry{
+	return entry{
 		ID: b.ID, HostPort: b.Address, Zone: b.Site, Kind: "stand-in", Cell: b.Rack, Lifecycle: lifecycle, Weight: 1,
 		StartedMs: started,
-	}, atOnce)
+	}
 }
 
 // Chill makes all boxes of the first tier cold, as after a power cut.
@@ -178,7 +189,7 @@
 	Site     string
 	MemoryMB int
 	Sockets  int
-	Known    bool // it knows the list of now, as after a restart
+	Known    bool // it knows the list that it last had, as after a restart
 	Copies   bool // attempts of a request may overlap
 	Budgets  bool // requests share a budget of attempts with other tiers
 	Advice   time.Duration
@@ -233,7 +244,7 @@
 	if s.List != nil {
 		config["known"] = s.List
 	} else if s.Known {
-		config["known"] = f.discoveryOf(s.Tier).known()
+		config["known"] = f.discoveryOf(s.Tier).known(s.Name)
 	}
 	text, err := json.MarshalIndent(config, "", "  ")
 	if err != nil {
--- a/internal/rig/standin/judge/judge.go
+++ b/internal/rig/standin/judge/judge.go
@@ -151,6 +151,7 @@
 	places   map[string]Place
 	words    map[string]map[string][]word // by node, by box
 	deaths   map[string][]time.Duration
+	starts   map[string][]time.Duration    // of processes that took the place of dead ones
 	stood    map[string][][2]time.Duration // when a node's process stood still
 	fallen   []Breach
 	strays   []Breach
@@ -161,7 +162,7 @@
 func New(r Rules) *Judge {
 	return &Judge{
 		rules: r, requests: map[string]*request{}, places: map[string]Place{},
-		words: map[string]map[string][]word{}, deaths: map[string][]time.Duration{}, stood: map[string][][2]time.Duration{},
+		words: map[string]map[string][]word{}, deaths: map[string][]time.Duration{}, starts: map[string][]time.Duration{}, stood: map[string][][2]time.Duration{},
 	}
 }
 
@@ -291,6 +292,13 @@
 	j.deaths[node] = append(j.deaths[node], at)
 }
 
+// Started says that a node that had died runs again.
+func (j *Judge) Started(at time.Duration, node string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.starts[node] = append(j.starts[node], at)
+}
+
 // Stood says that a node's process stood still from one time to another: what it held then may be answered late, or
 // be given up by its caller, but nothing is sent for it after its time.
 func (j *Judge) Stood(from, to time.Duration, node string) {
@@ -489,6 +497,22 @@
 	}
 }
 
+// startGrace is how long after its start what fell due before does not count as told to a process that takes a dead one's
+// place: it has to ask first, and knows neither how old its list is nor which boxes still take work.
+const startGrace = 2 * time.Second
+
+// began tells when the process that a node runs at a time took the place of a dead one, and false if none has died.
+func (c *bench) began(at time.Duration) (began time.Duration, ok bool) {
+	for _, times := range [...][]time.Duration{c.deaths[c.node], c.starts[c.node]} {
+		for _, x := range times {
+			if x < at {
+				began, ok = max(began, x), true
+			}
+		}
+	}
+	return began, ok
+}
+
 // drains checks rule 3.
 func (c *bench) drains() {
 	for _, a := range c.attempts {
@@ -504,8 +528,8 @@
 				told = x[1]
 			}
 		}
-		if last.due && slices.ContainsFunc(c.deaths[c.node], func(at time.Duration) bool { return at < a.at }) {
-			continue // its new process may not have had the time; what is written to it counts
+		if began, ok := c.began(a.at); last.due && ok {
+			told = max(told, began+startGrace)
 		}
 		if last.state != Serving && c.late(told+c.rules.DrainGrace, a.at) {
 			what := "was told"
--- a/internal/rig/standin/judge/judge_test.go
+++ b/internal/rig/standin/judge/judge_test.go
@@ -302,8 +302,8 @@
 }
 
 // What discovery has had for long enough counts as told, whether or not it was written: a node that goes on sending has
-// broken rule 3, one that stops at the last moment has not. A newer word goes before an older one that falls due later, and a
-// process that was killed meanwhile is held to what is written to it alone.
+// broken rule 3, one that stops at the last moment has not. A newer word goes before an older one that falls due later. A
+// process that takes a killed one's place has some time to ask, and is then held to the same.
 func TestWhatCountsAsTold(t *testing.T) {
 	for _, c := range []struct {
 		name string
@@ -343,6 +343,22 @@
 			try(j, "1", "a", 7*time.Second, 5*ms, Done)
 			j.Answered(7010*ms, "1", Served, "a")
 		}},
+		{"was killed meanwhile, and sends on when it has had the time to ask", 3, func(j *Judge) {
+			j.Known(6*time.Second, "n", "a", Draining, 1, true)
+			j.Died(3*time.Second, "n")
+			j.Started(5*time.Second, "n")
+			j.Asked(7560*ms, "1", look, "n", time.Second)
+			try(j, "1", "a", 7561*ms, 5*ms, Done)
+			j.Answered(7570*ms, "1", Served, "a")
+		}},
+		{"was killed meanwhile, and stops once it has had the time to ask", 0, func(j *Judge) {
+			j.Known(6*time.Second, "n", "a", Draining, 1, true)
+			j.Died(3*time.Second, "n")
+			j.Started(5*time.Second, "n")
+			j.Asked(7540*ms, "1", look, "n", time.Second)
+			try(j, "1", "a", 7549*ms, 5*ms, Done)
+			j.Answered(7560*ms, "1", Served, "a")
+		}},
 		{"was killed meanwhile, and told anew", 3, func(j *Judge) {
 			j.Died(1*time.Second, "n")
 			j.Known(2*time.Second, "n", "a", Draining, 1, false)
--- a/internal/rig/standin/plan.go
+++ b/internal/rig/standin/plan.go
@@ -45,6 +45,8 @@
 	TierWork     []float64 // the share of a class's work by tier; even if empty
 	Calls        float64   // mean calls to the next tier for each request
 	Notice       time.Duration
+	LossNotice   time.Duration     // from a box's crash until it is listed as gone; 0: Notice
+	PublishEvery time.Duration     // changes become visible together at multiples of this; 0: each by itself
 	Registry     registry.Settings // what calls of all nodes cost discovery, and what it can bear
 	// OutageAnswers: while discovery is down, a call is answered 503 after the registry's time-out; else it is cut off.
 	OutageAnswers bool
