While the list is unconfirmed, trust only servers whose process has lived on (incident)

Cause, from the reproduction: (1) endpoints.NewConfirmation took the list that a node starts with for confirmed as of its start; it is as old as its last life. (2) decide's unproven trusted any server that took work within 4 s. That excludes one that drains, not one that was lost, is back, and still counts as gone. Both need discovery to be silent for seconds, which it is once it must write hundreds of lines to each node: with thousands of servers. Class of bug: the absence of news, or a success, taken for proof of more than it shows.

The module keeps for how long each server's process is known to have lived, by when the connections that answered were opened (decide/proof.go). While the list is unconfirmed it sends to processes that have lived since before the last answer or for 9.5 s. A node that has not heard discovery since its start doubts the servers of its own zone, which may have been lost with it, and counts its list as unconfirmed from 2 s after its start. A long poll that ends by an error no longer confirms the list up to its end: its answer may have waited 3 s in the queue.

New unit tests of decide and endpoints fail without their part.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -41,7 +41,6 @@
 	holdStep     = 10 * time.Millisecond  // wait before looking again for a server
 	askStep      = 250 * time.Millisecond // first wait before asking for the list again
 	askMost      = 3 * time.Second / 2    // the longest: what discovery has known for 6 s counts as told
-	proofLasts   = 4 * time.Second        // a server may take work 2 s beyond the listing of its drain
 	sizeSlack    = 1.0 / 16               // part by which a subset may be larger or smaller than its share
 	startSlack   = 32                     // part of a ring (one in so many) by which its start may be off
 	spread       = 0.63224128846          // multiples of it spread evenly, every 2nd to 16th of them too
@@ -257,7 +256,7 @@
 	}
 	if e.Started > s.Started { // a new process: what was held against the old one is void
 		s.served()
-		s.idle = nil
+		s.idle, s.alive = nil, lifetime{}
 		s.late, s.tokens, s.filled, s.pooled = 0, b.rng.Float64(), b.now, pooled{}
 	}
 	if !whole {
@@ -358,33 +357,6 @@
 	b.act(Action{Kind: After, Token: askToken, Wait: b.jitter(wait)})
 }
 
-// confirm books until when the list is confirmed.
-func (b *Balancer) confirm(m *Members) {
-	if m.Change == ListDiff || m.Change == ListFull {
-		b.heard, b.unconfirmed = b.now, 0
-	}
-	if m.Confirmed > 0 && (b.unconfirmed == 0 || m.Confirmed < b.unconfirmed) {
-		b.unconfirmed = m.Confirmed
-	}
-}
-
-// unproven tells whether a drain of the server may count as told though this node has not heard of it: its
-// list is not confirmed, and the server has not taken new work of late.
-func (b *Balancer) unproven(s *server) bool {
-	return b.doubting() && b.now-s.proof() > proofLasts
-}
-
-// doubting tells whether drains that this node has not heard of may count as told.
-func (b *Balancer) doubting() bool { return b.Unconfirmed(b.now) }
-
-// Unconfirmed tells whether changes of the list may count as told to this node that it has not heard of.
-func (b *Balancer) Unconfirmed(now time.Duration) bool {
-	return b.unconfirmed > 0 && now >= b.unconfirmed
-}
-
-// denied tells whether the server turned work away since it or discovery proved it good.
-func (b *Balancer) denied(s *server) bool { return s.deniedAt > max(s.provenAt, b.heard) }
-
 // Routes takes new bounds, for requests that come from now on; those under way keep theirs.
 func (b *Balancer) Routes(now time.Duration, bounds []Bounds, out []Action) []Action {
 	b.begin(now, out)
@@ -608,7 +580,8 @@
 		left = min(left, c.bounds.AttemptTimeout)
 	}
 	due := b.usually(c)
-	a := attempt{server: s, sent: b.now, due: b.now + due, span: b.connect(s)}
+	span, opened := b.connect(s)
+	a := attempt{server: s, sent: b.now, due: b.now + due, span: span, opened: opened}
 	copying := c.bounds.SecondCopyAfter
 	if copying > 0 && copying < left && c.open == 0 && b.set.Classes[c.Class].Effect == Repeatable {
 		a.copyAt = b.now + copying
@@ -645,30 +618,31 @@
 	return c.ran && class.Effect == Keyed && then-c.ranAt > class.KeyTTL*9/10
 }
 
-// connect takes the connection for a send and returns the span of its idle time. Connections that idled for
-// as long as those that proved dead are closed first: a new one costs a handshake, a dead one the request.
-// It acts only while sends after such idle times are lost more often than answered, at whatever servers: one
-// server that hangs does not make it so.
-func (b *Balancer) connect(s *server) int {
+// connect takes the connection for a send and returns the span of its idle time, and when it was opened.
+// Connections that idled for as long as those that proved dead are closed first: a new one costs a
+// handshake, a dead one the request. It acts only while sends after such idle times are lost more often than
+// answered, at whatever servers: one server that hangs does not make it so.
+func (b *Balancer) connect(s *server) (span int, opened time.Duration) {
 	if len(s.idle) == 0 {
-		return -1
+		return -1, b.now
 	}
-	gap := b.now - s.idle[len(s.idle)-1]
+	last := s.idle[len(s.idle)-1]
+	gap := b.now - last.since
 	s.idle = s.idle[:len(s.idle)-1]
 	if b.set.ConnIdle > 0 && gap >= b.set.ConnIdle {
 		s.idle = s.idle[:0] // closed by itself, and so are those that idled for longer
-		return -1
+		return -1, b.now
 	}
-	span := -1
+	span = -1
 	for d := gapLeast; gap >= d && span < gapSpans-1; d *= 2 {
 		span++
 	}
 	if span >= b.stale {
 		s.idle = s.idle[:0]
 		b.act(Action{Kind: HangUp, Server: s.ID})
-		return -1
+		return -1, b.now
 	}
-	return span
+	return span, last.opened
 }
 
 // idled books whether a send on an idle connection was lost, and finds the shortest idle time after which
@@ -826,25 +800,6 @@
 	return near
 }
 
-// leastDoubtful is the server to send to where the list is not confirmed and none is proven: the one that
-// was proven last, of the subset if possible, and none that has turned work away since.
-func (b *Balancer) leastDoubtful(c *call) (best *server) {
-	if !b.doubting() {
-		return nil
-	}
-	for _, list := range [...][]*server{b.near, b.far, b.homes, b.others} {
-		for _, s := range list {
-			if !b.denied(s) && !s.out(b.now) && (best == nil || s.proof() > best.proof()) && b.allowed(c, s) {
-				best = s
-			}
-		}
-		if best != nil {
-			return best
-		}
-	}
-	return nil
-}
-
 // cost is how many times as loaded a server counts where a send there has a price. A call of b.late aims
 // saves b.late*(1-1/x) at one x times as idle; an aim saved is taken to be worth a request, and must exceed
 // the price.
@@ -981,7 +936,11 @@
 		s.inflight = max(0, s.inflight-1)
 		s.zone.inflight = max(0, s.zone.inflight-1)
 		b.judge(s, o.Result)
-		s.prove(now, &o)
+		opened := now - o.Elapsed
+		if c != nil {
+			opened = c.attempts[o.Attempt].connected(&o)
+		}
+		s.prove(now, &o, opened)
 		if s.Health == Removed && s.inflight == 0 {
 			delete(b.servers, o.Server)
 		}
@@ -998,7 +957,7 @@
 	}
 	if o.Result == Served || o.Result == Errored || o.Result == Full || o.Result == Spoilt {
 		if b.idled(a, false); !o.Closed && o.Result != Spoilt {
-			a.server.idle = append(a.server.idle, b.now)
+			a.server.idle = append(a.server.idle, idleConn{since: b.now, opened: a.opened})
 		}
 	} else if o.Result == Broken || o.Result == TimedOut && !a.overdue {
 		b.idled(a, true)
--- /dev/null
+++ b/decide/proof.go
@@ -0,0 +1,131 @@
+package decide
+
+import "time"
+
+// Which servers may be sent to while the list is not confirmed: changes that this node has not heard of may
+// count as told to it. A server that drains turns new work away, so one that takes work does not drain. That
+// says nothing of one that was lost: it is listed as gone some time after its end, and may be back, and take
+// work, while that still counts. Only a process that has lived on since before it could be listed so is
+// proven.
+
+const (
+	// A server may take work 2 s beyond the listing of its drain.
+	proofLasts = 4 * time.Second
+	// A change counts as told after 6 s, and a server that is back is listed up to 3.5 s after its start: one
+	// whose process has lived for longer than both counts as serving, whatever was listed of the process
+	// before it.
+	returnTold = 9500 * time.Millisecond
+	// A process does not end and take work again sooner, nor is it listed as gone for so short an end.
+	shortestOutage = time.Second
+)
+
+// lifetime is a span for which a server's process is known to have lived on.
+type lifetime struct{ from, to time.Duration }
+
+// extend adds a span for which a process lived on: it is the same one unless there was time in between to end
+// and start again.
+func (l *lifetime) extend(from, to time.Duration) {
+	if l.to == 0 || from > l.to+shortestOutage {
+		*l = lifetime{from, to}
+		return
+	}
+	l.from, l.to = min(l.from, from), max(l.to, to)
+}
+
+// proof is the latest time at which the server is known to have taken new work: a process that has just
+// started does.
+func (s *server) proof() time.Duration { return max(s.provenAt, s.Started) }
+
+// prove books what an outcome says of whether the server takes new work, and of its process: it has lived on
+// since the connection was opened.
+func (s *server) prove(now time.Duration, o *Outcome, opened time.Duration) {
+	sent := now - o.Elapsed
+	switch o.Result {
+	case Served:
+		s.provenAt = max(s.provenAt, sent)
+	case Full:
+		s.deniedAt = max(s.deniedAt, sent)
+	case Errored, Spoilt: // it answers
+	default:
+		return
+	}
+	if s.Started > 0 && opened >= s.Started && opened <= s.Started+proofLasts {
+		opened = s.Started // the process that the list names
+	}
+	s.alive.extend(opened, sent)
+}
+
+// connected is when the connection of an attempt was opened, as its outcome tells.
+func (a *attempt) connected(o *Outcome) time.Duration {
+	if o.Dial > 0 { // none of those that were there was of use
+		a.opened = a.sent
+	}
+	return a.opened
+}
+
+// confirm books until when the list is confirmed.
+func (b *Balancer) confirm(m *Members) {
+	if m.Change == ListDiff || m.Change == ListFull {
+		b.heard, b.unconfirmed = b.now, 0
+	}
+	if m.Confirmed > 0 && (b.unconfirmed == 0 || m.Confirmed < b.unconfirmed) {
+		b.unconfirmed = m.Confirmed
+	}
+}
+
+// Unconfirmed tells whether changes of the list may count as told to this node that it has not heard of.
+func (b *Balancer) Unconfirmed(now time.Duration) bool {
+	return b.unconfirmed > 0 && now >= b.unconfirmed
+}
+
+// doubting tells whether changes may count as told now that this node has not heard of.
+func (b *Balancer) doubting() bool { return b.Unconfirmed(b.now) }
+
+// unproven tells whether the server may count as draining or gone though this node has not heard of it.
+func (b *Balancer) unproven(s *server) bool {
+	return b.doubting() && (b.now-s.proof() > proofLasts || !b.livedOn(s))
+}
+
+// livedOn tells whether no process of the server before this one can count as gone. A node that has not heard
+// discovery since its own start knows of no server what became of it before. It was ended by something that
+// may have ended its zone, so there it goes by what it has seen; other zones get the benefit of the doubt.
+func (b *Balancer) livedOn(s *server) bool {
+	if b.heard == 0 && !s.near {
+		return true
+	}
+	from := s.alive.from
+	return s.alive.to == 0 && s.Started > 0 || s.alive.to > 0 &&
+		(from <= b.heard || b.now-from >= returnTold || s.Started > 0 && from == s.Started)
+}
+
+// denied tells whether the server turned work away since it or discovery proved it good.
+func (b *Balancer) denied(s *server) bool { return s.deniedAt > max(s.provenAt, b.heard) }
+
+// leastDoubtful is the server to send to where the list is not confirmed and none is proven: the one that was
+// proven last, of the subset if possible, and none that has turned work away since. One whose process has
+// lived on goes before all others. A node that has not heard discovery since its start takes none of which it
+// must fear that it was lost together with the node.
+func (b *Balancer) leastDoubtful(c *call) (best *server) {
+	if !b.doubting() {
+		return nil
+	}
+	for _, lived := range [...]bool{true, false} {
+		if !lived && b.heard == 0 {
+			break
+		}
+		for _, list := range [...][]*server{b.near, b.far, b.homes, b.others} {
+			for _, s := range list {
+				if lived && !b.livedOn(s) || b.denied(s) || s.out(b.now) {
+					continue
+				}
+				if (best == nil || s.proof() > best.proof()) && b.allowed(c, s) {
+					best = s
+				}
+			}
+			if best != nil {
+				return best
+			}
+		}
+	}
+	return nil
+}
--- a/decide/rows.go
+++ b/decide/rows.go
@@ -40,18 +40,23 @@
 	tokens   float64       // sends it may get while cold
 	filled   time.Duration
 	pooled
-	idle   []time.Duration // since when its idle connections have been so; the last is used first
-	seen   bool            // named by the whole list that comes now
-	listed bool            // among the members
+	alive  lifetime   // of its process, as far as this node knows
+	idle   []idleConn // the last is used first
+	seen   bool       // named by the whole list that comes now
+	listed bool       // among the members
 	near   bool
 }
 
+// idleConn is a connection that waits for its next send.
+type idleConn struct{ since, opened time.Duration }
+
 // attempt is one send of a request.
 type attempt struct {
 	server  *server
 	sent    time.Duration
 	due     time.Duration // when an answer is out of the usual
 	copyAt  time.Duration // when a second copy may go out; 0: never
+	opened  time.Duration // when its connection was opened
 	span    int           // of the idle time of its connection; -1: none to speak of
 	overdue bool
 	done    bool
@@ -78,19 +83,6 @@
 	filled time.Duration
 }
 
-// proof is the latest time at which the server is known to have taken new work: a process that has just started does.
-func (s *server) proof() time.Duration { return max(s.provenAt, s.Started) }
-
-// prove books what an outcome says of whether the server takes new work.
-func (s *server) prove(now time.Duration, o *Outcome) {
-	switch sent := now - o.Elapsed; o.Result {
-	case Served:
-		s.provenAt = max(s.provenAt, sent)
-	case Full:
-		s.deniedAt = max(s.deniedAt, sent)
-	}
-}
-
 // byRing orders servers by their place on the ring.
 func byRing(x, y *server) int { return cmp.Or(cmp.Compare(x.rank, y.rank), cmp.Compare(x.ID, y.ID)) }
 
--- a/decide/unconfirmed_test.go
+++ b/decide/unconfirmed_test.go
@@ -103,3 +103,73 @@
 		t.Errorf("%v are asked, want those that have just started", got)
 	}
 }
+
+// A server that was lost and is back takes new work while its loss still counts as told. One whose connections have all been
+// made anew may be such a one; one that answers on a connection from before is none.
+func TestUnconfirmedListLeavesServersThatLivedOn(t *testing.T) {
+	b := askingNode("a", "b")
+	asked(b, time.Second, 5*time.Second, serveAll)
+	b.Members(5*time.Second, Members{Change: ListFailed, Confirmed: 9 * time.Second}, nil)
+	back := func(from, until time.Duration) (asked map[string]int) {
+		asked = map[string]int{}
+		for now := from; now < until; now += 20 * ms {
+			nextID++
+			for _, a := range b.Request(now, Request{ID: nextID, Tenant: -1, TTL: 2 * time.Second}, nil) {
+				if a.Kind != Send {
+					continue
+				}
+				asked[a.Server]++
+				o := Outcome{Request: nextID, Server: a.Server, Result: Served, Elapsed: 10 * ms, Final: true}
+				if a.Server == "b" && now < 8*time.Second { // it was away
+					o.Result = Unconnected
+					if now >= 7*time.Second {
+						o.Result, o.Dial = Served, ms
+					}
+				}
+				b.Outcome(now+10*ms, o, nil)
+			}
+		}
+		return asked
+	}
+	if asked := back(5*time.Second, 9*time.Second); asked["b"] == 0 {
+		t.Fatal("b is not asked while the list is confirmed: the test shows nothing")
+	}
+	if asked := back(9*time.Second, 16*time.Second); asked["b"] > 0 || asked["a"] == 0 {
+		t.Errorf("with the list unconfirmed %v are asked, want a alone", asked)
+	}
+	b.Members(16*time.Second, Members{Change: ListDiff}, nil)
+	if b.unproven(b.servers["b"]) {
+		t.Error("with the list confirmed b is doubted")
+	}
+}
+
+// A node that has started knows of no server what became of it before, and may have been lost with its zone: servers there
+// that serve are no proof until they have done so for longer than a loss can count. Those of other zones are; and where there
+// are none it refuses rather than break the rule on servers that are gone.
+func TestStartedNodeDoubtsItsOwnZone(t *testing.T) {
+	for _, zones := range []int{1, 2} {
+		b := New(Settings{
+			Nodes: 1, MaxTries: 3, AnswerGrace: 10 * ms, MustAsk: true, AskWithin: 10 * time.Second, Zone: "0",
+			Classes: []Class{{Aim: time.Second, Deadline: 2 * time.Second, Worth: 1}},
+		}, 1, time.Second)
+		list := []Server{{ID: "a", Zone: "0"}, {ID: "b", Zone: "0"}}
+		if zones == 2 {
+			list = append(list, Server{ID: "far", Zone: "1"})
+		}
+		b.Members(time.Second, Members{Change: ListStored, Servers: list, Confirmed: 3 * time.Second}, nil)
+		if got := asked(b, time.Second, 3*time.Second, serveAll); len(got) != zones+1 {
+			t.Errorf("%d zones: before changes count %v are asked", zones, got)
+		}
+		var want []string
+		if zones == 2 {
+			want = []string{"far"}
+		}
+		if got := asked(b, 3*time.Second, 10*time.Second, serveAll); !slices.Equal(got, want) {
+			t.Errorf("%d zones: unheard of, %v are asked, want %v", zones, got, want)
+		}
+		b.Members(10*time.Second, Members{Change: ListDiff}, nil)
+		if got := asked(b, 10*time.Second, 12*time.Second, serveAll); len(got) == 0 || b.unproven(b.servers["a"]) {
+			t.Errorf("%d zones: once discovery has answered %v are asked", zones, got)
+		}
+	}
+}
--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -27,6 +27,16 @@
 	}
 	l.view.Begin(stored)
 	l.members(stored, decide.ListStored)
+	if l.set.MustAsk { // the list is as old as the last life
+		l.unconfirm(l.confirmation.Until())
+	}
+}
+
+// unconfirm tells the module from when on changes that this node lacks may count as told.
+func (l *loop) unconfirm(from time.Duration) {
+	l.carryOut(l.balancer.Members(l.now, decide.Members{
+		Change: decide.ListKept, Confirmed: from, There: l.past.there(), Rate: l.past.rate(),
+	}, l.actions[:0]))
 }
 
 // listed takes a list that discovery has told.
@@ -78,10 +88,7 @@
 // moved takes a move of discovery to another address.
 func (l *loop) moved() {
 	if l.set.MustAsk {
-		m := decide.Members{
-			Change: decide.ListKept, Confirmed: l.confirmation.Moved(l.now), There: l.past.there(), Rate: l.past.rate(),
-		}
-		l.carryOut(l.balancer.Members(l.now, m, l.actions[:0]))
+		l.unconfirm(l.confirmation.Moved(l.now))
 	}
 }
 
--- a/internal/servers/endpoints/confirm.go
+++ b/internal/servers/endpoints/confirm.go
@@ -10,6 +10,11 @@
 	toldAfterWait = 2 * time.Second
 	// toldAfterMove holds once discovery has moved to another address.
 	toldAfterMove = 4 * time.Second
+	// A node that starts has the list of its last life, which ended this long before at the most, as far as it can tell.
+	// What changed since counts as told to it like to any other.
+	longestRestart = 4 * time.Second
+	// Discovery gives calls up that have waited in its queue for so long. That may have been the answer to a long poll.
+	longestQueue = 3 * time.Second
 	// A call that fails sooner than this may have waited in discovery's queue all the time. One that lasted longer was an
 	// open long poll, on which every change would have come.
 	openAfter = 4 * time.Second
@@ -49,7 +54,12 @@
 }
 
 // NewConfirmation is for a node that starts now, with the list that it had before.
-func NewConfirmation(now time.Duration) *Confirmation { return &Confirmation{heard: now} }
+func NewConfirmation(now time.Duration) *Confirmation {
+	return &Confirmation{heard: now - longestRestart}
+}
+
+// Until is until when the list is confirmed as long as nothing is heard of discovery.
+func (c *Confirmation) Until() time.Duration { return c.heard + toldAfterFailure }
 
 // Answered takes an answer of discovery.
 func (c *Confirmation) Answered(now time.Duration) { c.heard = now }
@@ -61,9 +71,12 @@
 		return begun + failure.Wait + toldAfterWait
 	}
 	if failure.Took > openAfter {
-		c.heard = now
+		if failure.Reason == Overloaded {
+			now -= longestQueue
+		}
+		c.heard = max(c.heard, now)
 	}
-	return c.heard + toldAfterFailure
+	return c.Until()
 }
 
 // Moved takes a move of discovery to another address and returns until when the list is confirmed.
--- a/internal/servers/endpoints/confirm_test.go
+++ b/internal/servers/endpoints/confirm_test.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// A failed call leaves the list confirmed for 6 s from the last answer, or from its own end if it was an open long poll; a
-// silent one until 2 s after its wait; a move of discovery for 4 s. Never longer: requests to drained servers would follow.
+// A failed call leaves the list confirmed for 6 s from the last answer, or from its own end if it was an open long poll, less
+// the time for which the answer to it may have waited; a silent one until 2 s after its wait; a move of discovery for 4 s. Never longer: requests to drained servers would follow.
 func TestConfirmation(t *testing.T) {
 	const heard = 10 * time.Second
 	for name, c := range map[string]struct {
@@ -14,11 +14,12 @@
 		failure Failure
 		until   time.Duration
 	}{
-		"turned away at once":       {12 * time.Second, Failure{Reason: Overloaded}, 16 * time.Second},
-		"timed out in the queue":    {13 * time.Second, Failure{Reason: Overloaded, Took: 2 * time.Second, Wait: time.Minute}, 16 * time.Second},
-		"an open poll is reset":     {40 * time.Second, Failure{Reason: Unreachable, Took: 30 * time.Second, Wait: time.Minute}, 46 * time.Second},
-		"a silent poll":             {40300 * time.Millisecond, Failure{Reason: Silent, Took: 30300 * time.Millisecond, Wait: 30 * time.Second}, 42 * time.Second},
-		"no connection, much later": {50 * time.Second, Failure{Reason: Unreachable}, 16 * time.Second},
+		"turned away at once":        {12 * time.Second, Failure{Reason: Overloaded}, 16 * time.Second},
+		"timed out in the queue":     {13 * time.Second, Failure{Reason: Overloaded, Took: 2 * time.Second, Wait: time.Minute}, 16 * time.Second},
+		"its answer waited too long": {40 * time.Second, Failure{Reason: Overloaded, Took: 30 * time.Second, Wait: time.Minute}, 43 * time.Second},
+		"an open poll is reset":      {40 * time.Second, Failure{Reason: Unreachable, Took: 30 * time.Second, Wait: time.Minute}, 46 * time.Second},
+		"a silent poll":              {40300 * time.Millisecond, Failure{Reason: Silent, Took: 30300 * time.Millisecond, Wait: 30 * time.Second}, 42 * time.Second},
+		"no connection, much later":  {50 * time.Second, Failure{Reason: Unreachable}, 16 * time.Second},
 	} {
 		confirmation := NewConfirmation(time.Second)
 		confirmation.Answered(heard)
@@ -26,8 +27,8 @@
 			t.Errorf("%s: confirmed until %v, want %v", name, until, c.until)
 		}
 	}
-	if until := NewConfirmation(time.Second).Failed(3*time.Second, Failure{Reason: Overloaded}); until != 7*time.Second {
-		t.Errorf("a new process: confirmed until %v, want 6 s from its start", until)
+	if until := NewConfirmation(10*time.Second).Failed(11*time.Second, Failure{Reason: Overloaded}); until != 12*time.Second {
+		t.Errorf("a new process: confirmed until %v, want 6 s from the end of its last life, 4 s before its start at the most", until)
 	}
 	if until := NewConfirmation(0).Moved(time.Minute); until != 64*time.Second {
 		t.Errorf("after a move: confirmed until %v", until)
