--- a/decide/unconfirmed_test.go
+++ b/decide/unconfirmed_test.go
@@ -105,41 +105,54 @@
 }
 
 // A server that was lost and is back takes new work while its loss still counts as told. One whose connections have all been
-// made anew may be such a one; one that answers on a connection from before is none.
+// made anew since the last answer may be such a one, until it has served for longer than that can count; one that answers on
+// a connection from before, or closes each and answers all the time, is none.
 func TestUnconfirmedListLeavesServersThatLivedOn(t *testing.T) {
-	b := askingNode("a", "b")
-	asked(b, time.Second, 5*time.Second, serveAll)
-	b.Members(5*time.Second, Members{Change: ListFailed, Confirmed: 9 * time.Second}, nil)
-	back := func(from, until time.Duration) (asked map[string]int) {
-		asked = map[string]int{}
-		for now := from; now < until; now += 20 * ms {
-			nextID++
-			for _, a := range b.Request(now, Request{ID: nextID, Tenant: -1, TTL: 2 * time.Second}, nil) {
-				if a.Kind != Send {
-					continue
-				}
-				asked[a.Server]++
-				o := Outcome{Request: nextID, Server: a.Server, Result: Served, Elapsed: 10 * ms, Final: true}
-				if a.Server == "b" && now < 8*time.Second { // it was away
-					o.Result = Unconnected
-					if now >= 7*time.Second {
-						o.Result, o.Dial = Served, ms
-					}
-				}
-				b.Outcome(now+10*ms, o, nil)
-			}
+	const heard, now = 20 * time.Second, 27 * time.Second
+	type answer struct{ opened, sent time.Duration } // on a connection that was opened then
+	for _, c := range []struct {
+		name    string
+		started time.Duration
+		answers []answer
+		proven  bool
+	}{
+		{"never asked", 0, nil, false},
+		{"one connection since before the last answer", 0, []answer{{5 * time.Second, 26 * time.Second}}, true},
+		{"that connection, but a while ago", 0, []answer{{5 * time.Second, 22 * time.Second}}, false},
+		{"a connection made after the last answer", 0, []answer{{5 * time.Second, 21 * time.Second}, {24 * time.Second, 26 * time.Second}}, false},
+		{"it follows closely on one from before", 0, []answer{{5 * time.Second, 23500 * ms}, {24 * time.Second, 26 * time.Second}}, true},
+		{"two side by side, one from before", 0, []answer{{24 * time.Second, 26 * time.Second}, {5 * time.Second, 26 * time.Second}}, true},
+		{"a process that the list names", 23 * time.Second, []answer{{24 * time.Second, 26 * time.Second}}, true},
+		{"the list names one that started long before", 10 * time.Second, []answer{{24 * time.Second, 26 * time.Second}}, false},
+	} {
+		b := askingNode("a")
+		b.Members(heard, Members{Change: ListDiff, Servers: []Server{{ID: "a", Started: c.started}}}, nil)
+		s := b.servers["a"]
+		for _, x := range c.answers {
+			s.prove(x.sent, &Outcome{Result: Served}, x.opened)
+		}
+		b.Members(now, Members{Change: ListFailed, Confirmed: now}, nil)
+		if got := !b.unproven(s); got != c.proven {
+			t.Errorf("%s: proven %v, want %v", c.name, got, c.proven)
+		}
+		b.Members(now, Members{Change: ListDiff}, nil)
+		if b.unproven(s) {
+			t.Errorf("%s: doubted though the list is confirmed", c.name)
 		}
-		return asked
-	}
-	if asked := back(5*time.Second, 9*time.Second); asked["b"] == 0 {
-		t.Fatal("b is not asked while the list is confirmed: the test shows nothing")
-	}
-	if asked := back(9*time.Second, 16*time.Second); asked["b"] > 0 || asked["a"] == 0 {
-		t.Errorf("with the list unconfirmed %v are asked, want a alone", asked)
 	}
-	b.Members(16*time.Second, Members{Change: ListDiff}, nil)
-	if b.unproven(b.servers["b"]) {
-		t.Error("with the list confirmed b is doubted")
+}
+
+// A connection that an outcome says was new counts from its send, whatever the module took it for.
+func TestLifeBeginsWithTheConnection(t *testing.T) {
+	for dial, want := range map[time.Duration]time.Duration{0: time.Second, ms: 9 * time.Second} {
+		b := askingNode("a")
+		ask(b, time.Second, serveAll) // leaves a connection
+		nextID++
+		b.Request(9*time.Second, Request{ID: nextID, Tenant: -1, TTL: time.Second}, nil)
+		b.Outcome(9*time.Second+10*ms, Outcome{Request: nextID, Server: "a", Result: Served, Elapsed: 10 * ms, Dial: dial, Final: true}, nil)
+		if got := b.servers["a"].alive.from; got != want {
+			t.Errorf("dialled for %v: it lives since %v, want %v", dial, got, want)
+		}
 	}
 }
 
