Take a long poll that discovery keeps open for word that nothing changed

A long poll that is out for 3.5 s has left discovery's queue: what discovery had would have been written, or the call have failed. It confirms the list as of its begin, also after calls that failed, where a node used to go by proof for up to a minute.

--- a/decide/api.go
+++ b/decide/api.go
@@ -163,6 +163,7 @@
 	There   int     // servers that there are likely to be, if this is a part of an old list; 0: those listed
 	Rate    float64 // answers a second that each server gave each node in the last life, if all shared it; 0: not known
 
+	AsOf      time.Duration // discovery had nothing newer then, and tells what changes; 0: not told
 	Confirmed time.Duration // from then on a change that this node lacks may count as told; 0: not told, or never
 }
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -119,7 +119,8 @@
 	asking       bool
 	watching     bool
 	askTries     int
-	heard        time.Duration   // when discovery last answered
+	born         time.Duration   // when the node started
+	heard        time.Duration   // as of when discovery last confirmed the list; 0: never
 	unconfirmed  time.Duration   // from then on unheard drains may count as told; 0: never
 	longest      []time.Duration // largest TTL seen, by class
 }
@@ -130,6 +131,7 @@
 		set:         set,
 		rng:         rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
 		now:         now,
+		born:        now,
 		servers:     map[string]*server{},
 		calls:       map[uint64]*call{},
 		zones:       map[string]*zone{},
--- a/internal/node/discovery/discovery.go
+++ b/internal/node/discovery/discovery.go
@@ -31,18 +31,19 @@
 
 // Discovery makes the calls for the list of servers that the module asks for.
 type Discovery struct {
-	service atomic.Pointer[service]
-	from    atomic.Pointer[uint64] // the generation that a watch which has none begins with; nil: the whole list
-	log     *slog.Logger
-	watch   chan bool                                                          // on or off, the newest counts
-	renew   chan bool                                                          // the watch begins anew; true: with the whole list
-	fetch   chan struct{}                                                      // one call for the whole list
-	report  func(Update)                                                       // called with what came of each call
-	pushed  bool                                                               // an agent has the lists, and nobody asks for the watch
-	poll    func(wall time.Duration, lost bool) (wait, patience time.Duration) // PollSchedule.Wait; RunWatch's
-	pace    *endpoints.Pace                                                    // RunWatch's
-	queued  time.Duration                                                      // RunWatch's: a call this young may still wait in discovery's queue
-	spread  func() time.Duration                                               // waits before the first call at a new address; RunWatch's
+	service  atomic.Pointer[service]
+	from     atomic.Pointer[uint64] // the generation that a watch which has none begins with; nil: the whole list
+	log      *slog.Logger
+	watch    chan bool                                                          // on or off, the newest counts
+	renew    chan bool                                                          // the watch begins anew; true: with the whole list
+	fetch    chan struct{}                                                      // one call for the whole list
+	report   func(Update)                                                       // called with what came of each call
+	pushed   bool                                                               // an agent has the lists, and nobody asks for the watch
+	poll     func(wall time.Duration, lost bool) (wait, patience time.Duration) // PollSchedule.Wait; RunWatch's
+	pace     *endpoints.Pace                                                    // RunWatch's
+	accepted time.Duration                                                      // a long poll that is out for so long is kept open; RunWatch's
+	queued   time.Duration                                                      // RunWatch's: a call this young may still wait in discovery's queue
+	spread   func() time.Duration                                               // waits before the first call at a new address; RunWatch's
 
 	mu     sync.Mutex
 	asking *endpoints.Asking // how long calls for the whole list may take
@@ -50,8 +51,9 @@
 
 // Update is what came of a call to discovery.
 type Update struct {
-	List    *endpoints.List   // nil: the call failed
-	Failure endpoints.Failure // why; meaningless with a list
+	List     *endpoints.List   // nil: the call failed, or is still out
+	Accepted bool              // it is a long poll that discovery keeps open: it has nothing newer than this node
+	Failure  endpoints.Failure // why there is no list; meaningless otherwise
 }
 
 // service is discovery at one address.
@@ -92,7 +94,7 @@
 		poll:   endpoints.NewPollSchedule(place).Wait,
 		pace:   pace,
 		spread: func() time.Duration { return pace.Spread(asking.Spread()) },
-		queued: queued,
+		queued: queued, accepted: endpoints.AcceptedAfter,
 		asking: asking,
 	}
 	d.service.Store(newService(address))
@@ -181,7 +183,7 @@
 		if err != nil {
 			d.log.Warn("asking for the list failed", "err", err)
 		}
-		d.report(Update{l, failure(err, time.Since(begun), 0)})
+		d.report(Update{List: l, Failure: failure(err, time.Since(begun), 0)})
 	}
 }
 
--- a/internal/node/discovery/overload_test.go
+++ b/internal/node/discovery/overload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"net"
 	"net/http"
 	"strconv"
@@ -155,3 +156,63 @@
 		t.Errorf("the watch goes on after %v", took)
 	}
 }
+
+// A long poll that is out for longer than discovery's queue lasts has been accepted: discovery has nothing newer, and the node
+// must hear so, as it may hear nothing else for a minute. A call for the whole list, a short poll that is late and one that has
+// ended say nothing of the kind.
+func TestOpenPollsAreAccepted(t *testing.T) {
+	const accepted = 150 * time.Millisecond
+	for name, c := range map[string]struct {
+		wait   time.Duration
+		whole  bool
+		answer string
+		want   int
+	}{
+		"open":          {time.Minute, false, "", 1},
+		"short":         {accepted / 2, false, "", 0},
+		"whole":         {time.Minute, true, "", 0},
+		"answered soon": {time.Minute, false, ListOf(4, false), 1}, // the next one is
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newHeldServer(t)
+			reports := make(chan Update, 10)
+			d := New(s.address, place(), Quiet(), func(u Update) { reports <- u })
+			d.accepted = accepted
+			d.poll = func(time.Duration, bool) (wait, patience time.Duration) { return c.wait, 2 * Patience }
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				since := uint64(3)
+				from := &since
+				if c.whole {
+					from = nil
+				}
+				d.RunWatch(ctx, from)
+			}()
+			d.SetWatch(true)
+			begun := time.Now()
+			call := s.call(t)
+			if c.answer != "" {
+				call.write(t, c.answer)
+				call.write(t, "")
+				s.call(t)
+				if u := <-reports; u.List == nil {
+					t.Fatalf("reported %+v", u)
+				}
+			}
+			time.Sleep(3 * accepted)
+			got := 0
+			for len(reports) > 0 {
+				if u := <-reports; u.Accepted {
+					got++
+				}
+			}
+			if got != c.want {
+				t.Errorf("accepted %d times %v after the call, want %d", got, time.Since(begun), c.want)
+			}
+			cancel()
+			<-done
+		})
+	}
+}
--- a/internal/node/discovery/watch.go
+++ b/internal/node/discovery/watch.go
@@ -35,6 +35,7 @@
 	limit  *time.Timer
 	pause  *time.Timer // ends a pause before the next call
 	again  *time.Timer // ends the wait of an early question for the call that is out
+	kept   *time.Timer // tells that the newest call has been accepted
 	ended  chan ended
 	out    sync.WaitGroup
 }
@@ -64,11 +65,12 @@
 func (d *Discovery) RunWatch(ctx context.Context, since *uint64) {
 	ctx, cancel := context.WithCancel(ctx)
 	w := &watch{Discovery: d, since: since, ended: make(chan ended), limit: time.NewTimer(0)}
-	w.pause, w.again = time.NewTimer(time.Hour), time.NewTimer(time.Hour)
+	w.pause, w.again, w.kept = stoppedTimer(), stoppedTimer(), stoppedTimer()
 	w.on, w.wanted = d.pushed, d.pushed
 	defer w.limit.Stop()
 	defer w.pause.Stop()
 	defer w.again.Stop()
+	defer w.kept.Stop()
 	defer w.out.Wait()
 	defer cancel()
 	for {
@@ -97,6 +99,10 @@
 			w.move()
 		case e := <-w.ended:
 			w.take(e)
+		case <-w.kept.C:
+			if w.newest != nil && !w.newest.whole {
+				w.report(Update{Accepted: true})
+			}
 		case <-w.pause.C:
 			w.on, w.resting = w.wanted, false
 		case <-w.limit.C:
@@ -105,6 +111,13 @@
 	}
 }
 
+// stoppedTimer returns a timer that fires once it is reset.
+func stoppedTimer() *time.Timer {
+	t := time.NewTimer(time.Hour)
+	t.Stop()
+	return t
+}
+
 // begin makes the next call.
 func (w *watch) begin(ctx context.Context, at *service) {
 	if from := w.from.Swap(nil); w.since == nil {
@@ -113,6 +126,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	p := &poll{whole: w.whole || w.since == nil, since: w.since, cancel: cancel, begun: time.Now()}
 	w.newest, w.whole = p, false
+	w.kept.Stop()
 	var call func() (*endpoints.List, error)
 	switch {
 	case p.since == nil:
@@ -124,6 +138,9 @@
 	default:
 		wait, patience := w.poll(wallClock(), w.lost)
 		p.wait = wait
+		if !w.pushed && wait > w.accepted {
+			w.kept.Reset(w.accepted)
+		}
 		query := fmt.Sprintf("?since=%d&timeout_ms=%d", *p.since, wait.Milliseconds())
 		call = func() (*endpoints.List, error) { return at.call(ctx, query, patience) }
 	}
@@ -200,6 +217,7 @@
 		w.on = w.wanted
 	case w.newest:
 		w.newest = nil
+		w.kept.Stop()
 		w.again.Stop() // whatever it was that should be asked early, it has been
 		if e.err != nil {
 			if !w.pushed || !w.lost { // an agent is silent while discovery is down: told once
--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -32,6 +32,13 @@
 	}
 }
 
+// accepted takes word that discovery keeps a long poll open: it has nothing newer.
+func (l *loop) accepted() {
+	l.carryOut(l.balancer.Members(l.now, decide.Members{
+		Change: decide.ListKept, AsOf: max(1, l.confirmation.Accepted(l.now)), There: l.past.there(), Rate: l.past.rate(),
+	}, l.actions[:0]))
+}
+
 // unconfirm tells the module from when on changes that this node lacks may count as told.
 func (l *loop) unconfirm(from time.Duration) {
 	l.carryOut(l.balancer.Members(l.now, decide.Members{
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -264,10 +264,13 @@
 			l.expire(p)
 		}
 	case discovery.Update:
-		if e.List == nil {
-			l.unlisted(e.Failure)
-		} else {
+		switch {
+		case e.List != nil:
 			l.listed(e.List)
+		case e.Accepted:
+			l.accepted()
+		default:
+			l.unlisted(e.Failure)
 		}
 	case turn:
 		l.turn = true
--- a/internal/servers/endpoints/confirm.go
+++ b/internal/servers/endpoints/confirm.go
@@ -53,6 +53,16 @@
 	heard time.Duration // every change that discovery had by then has been received
 }
 
+// AcceptedAfter is how long a long poll has to be out until discovery surely keeps it open: what it had for the node by the
+// time at which the call came would have been written, or the call have failed in the queue.
+const AcceptedAfter = longestQueue + 500*time.Millisecond
+
+// Accepted takes a long poll that has been out for AcceptedAfter, and returns as of when that confirms the list.
+func (c *Confirmation) Accepted(now time.Duration) (asOf time.Duration) {
+	c.heard = max(c.heard, now-AcceptedAfter)
+	return c.heard
+}
+
 // NewConfirmation is for a node that starts now, with the list that it had before.
 func NewConfirmation(now time.Duration) *Confirmation {
 	return &Confirmation{heard: now - longestRestart}
--- a/internal/servers/endpoints/confirm_test.go
+++ b/internal/servers/endpoints/confirm_test.go
@@ -33,4 +33,11 @@
 	if until := NewConfirmation(0).Moved(time.Minute); until != 64*time.Second {
 		t.Errorf("after a move: confirmed until %v", until)
 	}
+	accepted := NewConfirmation(0)
+	if asOf := accepted.Accepted(30 * time.Second); asOf != 30*time.Second-AcceptedAfter {
+		t.Errorf("an open poll confirms the list as of %v", asOf)
+	}
+	if until := accepted.Failed(31*time.Second, Failure{Reason: Overloaded}); until != 36*time.Second-AcceptedAfter {
+		t.Errorf("after an open poll and a call in vain: confirmed until %v", until)
+	}
 }
