Take an answer that comes in part for told, and the newest word of a server first

Long lists come in many pieces, so these take many servers to show.

An answer of discovery that broke off, stopped or was cut by the poll's own time limit was thrown away, and a break counted as a long poll that had been open: the list was held for confirmed for 6 s more, though all that was written counts as told. Answers are read entry by entry now (half the memory of a long list's text); what came of servers that drain or are gone is carried out, the list is unconfirmed at once, and an answer that has begun has its own time (1 s between pieces, 10 s in all; told as partial after 0.2 s).

An older word that a server serves opened it again after a newer list had said that it was gone. endpoints.Incoming keeps the newest word of each, bad news first.

--- a/internal/node/discovery/discovery.go
+++ b/internal/node/discovery/discovery.go
@@ -21,11 +21,16 @@
 	callWait    = 5 * time.Second
 	callConnect = time.Second
 	// A node that has a list asks for the whole only in doubt: one that gets none in this time asks for changes.
-	wholeWait    = 3 * time.Second
-	agentWhole   = 350 * time.Millisecond // the same of an agent, which answers at once
-	agentPause   = 50 * time.Millisecond  // between two calls of an agent that fail
-	openLeast    = 500 * time.Millisecond // a connection that ends sooner may never have reached discovery
-	mostListSize = 4 << 20                // a list of 5400 servers takes 0.9 MB, indented 1.3 MB, with long names 3 MB
+	wholeWait  = 3 * time.Second
+	agentWhole = 350 * time.Millisecond // the same of an agent, which answers at once
+	agentPause = 50 * time.Millisecond  // between two calls of an agent that fail
+	openLeast  = 500 * time.Millisecond // a connection that ends sooner may never have reached discovery
+	// An answer that has begun counts as told. It has its own time: so long from one piece to the next, and in all. What takes
+	// longer than the grace of drains leaves room for is told as partial meanwhile.
+	answerPause  = time.Second
+	answerWait   = 10 * time.Second
+	answerGrace  = 200 * time.Millisecond
+	mostListSize = 4 << 20 // a list of 5400 servers takes 0.9 MB, indented 1.3 MB, with long names 3 MB
 	mostListHead = 64 << 10
 )
 
@@ -54,6 +59,8 @@
 	List     *endpoints.List   // nil: the call failed, or is still out
 	Accepted bool              // it is a long poll that discovery keeps open: it has nothing newer than this node
 	Failure  endpoints.Failure // why there is no list; meaningless otherwise
+	Bad      []endpoints.Entry // Partial: servers that drain or are gone, by what has come
+	Ongoing  bool              // Partial: the rest of the answer, or another call's, may still come
 }
 
 // service is discovery at one address.
@@ -183,10 +190,24 @@
 		if err != nil {
 			d.log.Warn("asking for the list failed", "err", err)
 		}
-		d.report(Update{List: l, Failure: failure(err, time.Since(begun), 0)})
+		d.report(Update{List: l, Failure: failure(err, time.Since(begun), 0), Bad: partial(err)})
 	}
 }
 
+// begun reports an answer that has begun and takes its time: what it will tell counts as told already.
+func (d *Discovery) begun() {
+	d.report(Update{Failure: endpoints.Failure{Reason: endpoints.Partial}, Ongoing: true})
+}
+
+// partial returns what came of an answer that broke off, if that is what an error says.
+func partial(err error) (bad []endpoints.Entry) {
+	var broken *endpoints.PartialError
+	if errors.As(err, &broken) {
+		return broken.Bad
+	}
+	return nil
+}
+
 // errMoved says that discovery has moved while a call was out.
 var errMoved = errors.New("discovery has moved")
 
@@ -199,7 +220,10 @@
 func failure(err error, took, wait time.Duration) endpoints.Failure {
 	f := endpoints.Failure{Took: took, Wait: wait}
 	var status statusError
+	var partial *endpoints.PartialError
 	switch {
+	case errors.As(err, &partial):
+		f.Reason = endpoints.Partial
 	case errors.As(err, &status):
 		f.Reason = endpoints.Overloaded
 	case took >= openLeast && connectionEnded(err):
@@ -216,47 +240,86 @@
 // asks makes one call.
 type asks func(ctx context.Context, query string, wait time.Duration) (*endpoints.List, error)
 
+// ask makes calls at one address.
+func (d *Discovery) ask(at *service) asks {
+	return func(ctx context.Context, query string, wait time.Duration) (*endpoints.List, error) {
+		return at.call(ctx, query, wait, d.begun)
+	}
+}
+
 // call asks discovery. One that is out while discovery moves elsewhere ends with errMoved.
 func (d *Discovery) call(ctx context.Context, query string, wait time.Duration) (*endpoints.List, error) {
 	at := d.service.Load()
 	staying, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(at.left, cancel)()
-	l, err := at.call(staying, query, wait)
+	l, err := d.ask(at)(staying, query, wait)
 	if err != nil && ctx.Err() == nil && at.left.Err() != nil {
 		return nil, errMoved
 	}
 	return l, err
 }
 
-func (s *service) call(ctx context.Context, query string, wait time.Duration) (*endpoints.List, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait)
-	defer cancel()
+// errSlow says that a call had no answer in time, or that one stopped coming.
+var errSlow = fmt.Errorf("discovery: no answer in time: %w", context.DeadlineExceeded)
+
+// call asks for a list. It waits so long for an answer to begin; begun is called if one does and takes long.
+func (s *service) call(ctx context.Context, query string, wait time.Duration, begun func()) (*endpoints.List, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	patience := time.AfterFunc(wait, func() { cancel(errSlow) })
+	defer patience.Stop()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.address+"/v1/endpoints"+query, nil)
 	if err != nil {
 		return nil, fmt.Errorf("discovery: %w", err)
 	}
 	resp, err := s.client.Do(req)
 	if err != nil {
-		return nil, fmt.Errorf("discovery: %w", err)
+		return nil, fmt.Errorf("discovery: %w", whyEnded(ctx, err))
 	}
 	defer resp.Body.Close()
-	text, err := io.ReadAll(http.MaxBytesReader(nil, resp.Body, mostListSize))
-	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
-		return nil, fmt.Errorf("discovery: the answer of %s to /v1/endpoints%s is larger than %d bytes", s.address, query, tooLarge.Limit)
-	}
-	if err != nil {
-		return nil, fmt.Errorf("discovery: reading the list after %d bytes: %w", len(text), err)
-	}
 	if resp.StatusCode != http.StatusOK {
 		return nil, statusError(resp.Status)
 	}
-	l, err := endpoints.Parse(text)
+	patience.Reset(answerPause)
+	late := time.AfterFunc(answerGrace, begun)
+	defer late.Stop()
+	whole := time.AfterFunc(answerWait, func() { cancel(errSlow) })
+	defer whole.Stop()
+	body := &progress{Reader: http.MaxBytesReader(nil, resp.Body, mostListSize), more: func() { patience.Reset(answerPause) }}
+	l, err := endpoints.Read(body)
+	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
+		return nil, fmt.Errorf("discovery: the answer of %s to /v1/endpoints%s is larger than %d bytes", s.address, query, tooLarge.Limit)
+	}
 	if err == nil && query == "" && !l.Whole {
 		err = fmt.Errorf("malformed list: asked for the whole, got changes")
 	}
 	if err != nil {
-		return nil, fmt.Errorf("discovery: %w", err)
+		return nil, fmt.Errorf("discovery: after %d bytes: %w", body.read, whyEnded(ctx, err))
 	}
 	return l, nil
 }
+
+// whyEnded adds to an error what has ended its context, if anything.
+func whyEnded(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil && !errors.Is(err, cause) {
+		return errors.Join(cause, err)
+	}
+	return err
+}
+
+// progress tells of each piece of an answer that comes.
+type progress struct {
+	io.Reader
+	read int
+	more func()
+}
+
+func (p *progress) Read(b []byte) (int, error) {
+	n, err := p.Reader.Read(b)
+	p.read += n
+	if n > 0 {
+		p.more()
+	}
+	return n, err
+}
--- a/internal/node/discovery/discovery_test.go
+++ b/internal/node/discovery/discovery_test.go
@@ -198,7 +198,7 @@
 				io.WriteString(c, parts[0])
 				Endless(parts[1], sent)(c)
 			})
-			d := New(address, place(), Quiet(), nil)
+			d := New(address, place(), Quiet(), func(Update) {})
 			if l, err := d.call(t.Context(), "", Patience); err == nil {
 				t.Errorf("took %v for a list", l)
 			}
--- a/internal/node/discovery/overload_test.go
+++ b/internal/node/discovery/overload_test.go
@@ -216,3 +216,46 @@
 		})
 	}
 }
+
+// What discovery has begun to write counts as told, whether or not the rest comes. An answer that breaks off, stops coming or
+// can't be read further must be told as partial, with what it said of servers that drain or are gone; a poll's own time must not
+// cut one that goes on coming; and one that takes long must be told of before it is whole.
+func TestAnswersInPart(t *testing.T) {
+	const half = `{"generation":4,"reset":false,"instances":[` +
+		`{"instanceId":"a","hostPort":"127.0.0.1:1","zone":"a","cell":1,"lifecycle":"DELETED","weight":1,"startedAtMs":0},` +
+		`{"instanceId":"b","hostPort":"127.0.0.1:2","zone":"a","cell":1,"lifecycle":"SERVING","weight":1,"startedAtMs":0},`
+	const rest = `{"instanceId":"c","hostPort":"127.0.0.1:3","zone":"a","cell":1,"lifecycle":"DRAINING","weight":1,"startedAtMs":0}]}`
+	for name, end := range map[string]func(t *testing.T, call heldCall){
+		"broken off": func(t *testing.T, call heldCall) { call.write(t, "") },
+		"stopped":    func(t *testing.T, call heldCall) { <-call.done },
+		"unreadable": func(t *testing.T, call heldCall) { call.write(t, "!") },
+		"late":       func(t *testing.T, call heldCall) { time.Sleep(2 * answerGrace); call.write(t, rest); call.write(t, "") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newHeldServer(t)
+			reports := make(chan Update, 10)
+			d := New(s.address, place(), Quiet(), func(u Update) { reports <- u })
+			d.poll = func(time.Duration, bool) (wait, patience time.Duration) { return answerGrace, answerGrace }
+			stop := running(t, d, 3)
+			defer stop()
+			d.SetWatch(true)
+			call := s.call(t)
+			call.write(t, half)
+			end(t, call)
+			for u := range reports {
+				if u.Failure.Reason == endpoints.Partial && u.Ongoing && u.List == nil {
+					continue // it takes its time
+				}
+				if name == "late" {
+					if u.List == nil || u.List.Generation != 4 || len(u.List.Entries) != 3 {
+						t.Errorf("reported %+v, want the list", u)
+					}
+				} else if u.Failure.Reason != endpoints.Partial || len(u.Bad) != 1 || u.Bad[0].ID != "a" {
+					t.Errorf("reported %+v, want a partial answer that says a is gone", u)
+				}
+				return
+			}
+		})
+	}
+}
--- a/internal/node/discovery/watch.go
+++ b/internal/node/discovery/watch.go
@@ -130,11 +130,11 @@
 	var call func() (*endpoints.List, error)
 	switch {
 	case p.since == nil:
-		call = func() (*endpoints.List, error) { return w.Discovery.whole(ctx, at.call, 0) }
+		call = func() (*endpoints.List, error) { return w.Discovery.whole(ctx, w.ask(at), 0) }
 	case p.whole && w.pushed:
-		call = func() (*endpoints.List, error) { return w.Discovery.whole(ctx, at.call, agentWhole) }
+		call = func() (*endpoints.List, error) { return w.Discovery.whole(ctx, w.ask(at), agentWhole) }
 	case p.whole:
-		call = func() (*endpoints.List, error) { return w.Discovery.whole(ctx, at.call, wholeWait) }
+		call = func() (*endpoints.List, error) { return w.Discovery.whole(ctx, w.ask(at), wholeWait) }
 	default:
 		wait, patience := w.poll(wallClock(), w.lost)
 		p.wait = wait
@@ -142,7 +142,7 @@
 			w.kept.Reset(w.accepted)
 		}
 		query := fmt.Sprintf("?since=%d&timeout_ms=%d", *p.since, wait.Milliseconds())
-		call = func() (*endpoints.List, error) { return at.call(ctx, query, patience) }
+		call = func() (*endpoints.List, error) { return w.ask(at)(ctx, query, patience) }
 	}
 	w.log.Debug("call to discovery", "whole", p.whole, "since", generation(p.since), "wait", p.wait)
 	w.out.Go(func() {
@@ -210,8 +210,11 @@
 	switch e.poll {
 	case w.before:
 		w.before = nil
-		if e.err != nil {
-			return // the newer one tells whether discovery answers
+		if e.err != nil { // the newer one tells whether discovery answers
+			if f := failure(e.err, 0, 0); f.Reason == endpoints.Partial {
+				w.report(Update{Failure: f, Bad: partial(e.err), Ongoing: true})
+			}
+			return
 		}
 		// The module hears that the watch goes on, whatever came of the newer one; and what changes now counts as told.
 		w.on = w.wanted
@@ -242,8 +245,8 @@
 // failed takes the end of the newest call, which brought no list.
 func (w *watch) failed(e ended) {
 	f := failure(e.err, time.Since(e.begun), e.wait)
-	w.lost = f.Reason == endpoints.Unreachable
-	if !e.whole && errors.Is(e.err, context.DeadlineExceeded) {
+	w.lost = f.Reason == endpoints.Unreachable || f.Reason == endpoints.Partial
+	if f.Reason != endpoints.Partial && !e.whole && errors.Is(e.err, context.DeadlineExceeded) {
 		f.Reason, w.lost = endpoints.Silent, true // it took long enough: the next begins at once
 		w.report(Update{Failure: f})
 		return
@@ -261,7 +264,7 @@
 			w.rest(pause)
 		}
 	}
-	w.report(Update{Failure: f})
+	w.report(Update{Failure: f, Bad: partial(e.err)})
 }
 
 // generation is that of a list as logs have it; 0: none.
--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"curlewring/decide"
+	"curlewring/internal/node/discovery"
 	"curlewring/internal/node/upstream"
 	"curlewring/internal/servers/endpoints"
 )
@@ -75,20 +76,27 @@
 	l.later()
 }
 
-// unlisted takes a call to discovery that brought no list.
-func (l *loop) unlisted(f endpoints.Failure) {
+// unlisted takes a call to discovery that brought no list, or not yet.
+func (l *loop) unlisted(u *discovery.Update) {
+	f := u.Failure
 	m := decide.Members{
 		Change: decide.ListFailed, There: l.past.there(), Rate: l.past.rate(),
 	}
-	if f.Reason == endpoints.Silent { // the watch goes on by itself
+	switch {
+	case f.Reason == endpoints.Silent, u.Ongoing: // the watch goes on by itself
 		m.Change = decide.ListKept
-	} else {
+	default:
 		l.signs.Answered(l.now, false)
 	}
-	if l.set.MustAsk { // an agent that is silent has learnt nothing either
+	// An agent that is silent has learnt nothing either; one that has begun to answer has.
+	if l.set.MustAsk || f.Reason == endpoints.Partial {
 		m.Confirmed = l.confirmation.Failed(l.now, f)
 	}
 	l.trace.unlisted(f, l.told, m.Confirmed-l.now)
+	if bad := l.view.Partial(l.now, u.Bad); len(bad) > 0 {
+		l.remember(nil, bad)
+		l.changed(bad, decide.ListKept)
+	}
 	l.carryOut(l.balancer.Members(l.now, m, l.actions[:0]))
 }
 
@@ -174,7 +182,7 @@
 // changed carries out changes of the list. What is drained or gone gets nothing new from this moment; the rest of
 // many is background work with a deadline.
 func (l *loop) changed(entries []endpoints.Entry, change decide.Change) {
-	if len(entries) <= l.longList && len(l.coming) == 0 {
+	if len(entries) <= l.longList && l.coming.Len() == 0 {
 		l.members(&endpoints.List{Entries: entries}, change)
 		return
 	}
@@ -186,8 +194,7 @@
 		}
 	}
 	l.ready.Store(l.sendable > 0)
-	l.coming = append(l.coming[l.listAt:], entries...)
-	l.listAt = 0
+	l.coming.Add(entries)
 	// The module hears at once whether discovery answers.
 	l.carryOut(l.balancer.Members(l.now, decide.Members{Change: change, There: l.past.there(), Rate: l.past.rate()}, l.actions[:0]))
 	l.entries()
@@ -196,18 +203,13 @@
 // takeIn takes entries of long lists in, as background work.
 func (l *loop) takeIn(slice time.Duration) (took time.Duration, more bool) {
 	begun := l.clock.Now()
-	for l.listAt < len(l.coming) {
-		part := l.coming[l.listAt:min(len(l.coming), l.listAt+listStep)]
-		l.listAt += len(part)
-		l.members(&endpoints.List{Entries: part}, decide.ListKept)
+	for l.coming.Len() > 0 {
+		l.members(&endpoints.List{Entries: l.coming.Take(listStep)}, decide.ListKept)
 		if l.clock.Now() >= begun+slice {
 			break
 		}
 	}
-	if l.listAt == len(l.coming) {
-		l.coming, l.listAt = nil, 0
-	}
-	return l.clock.Now() - begun, len(l.coming) > 0
+	return l.clock.Now() - begun, l.coming.Len() > 0
 }
 
 // members takes a list of servers and tells the module.
--- a/internal/node/lists_test.go
+++ b/internal/node/lists_test.go
@@ -89,7 +89,7 @@
 		var between, most atomic.Int64
 		lag := n.loop.lag
 		n.loop.lag = func(now, long time.Duration) { // in the loop, with each request that comes
-			if n.loop.listAt < len(n.loop.coming) {
+			if n.loop.coming.Len() > 0 {
 				between.Add(1)
 			}
 			most.Store(max(most.Load(), int64(long)))
@@ -147,7 +147,7 @@
 // generation is that of the last list that was taken in whole.
 func (n *testNode) generation() (g int) {
 	step := n.loop.step(func(time.Duration) (time.Duration, bool) {
-		if n.loop.listAt == len(n.loop.coming) {
+		if n.loop.coming.Len() == 0 {
 			g = int(n.loop.told)
 		}
 		return 0, false
@@ -217,3 +217,26 @@
 		t.Errorf("ended with %v; the parked ones were closed after %v", err, took)
 	}
 }
+
+// What an answer says before it breaks off counts as told: a server that it says drains must get nothing more, and one that it
+// has not come to goes on.
+func TestAnswerInPartStopsServers(t *testing.T) {
+	s, other := NewServer(t, Say("drains")), NewServer(t, Say("fine"))
+	d := NewDiscoveryServer(t)
+	n := startNode(t, testConfig(t, d.Listener.Addr().String(), ListOf(1, true, s.Addr(), other.Addr()), 1024))
+	for s.Seen() == 0 {
+		exchange(t, request(t, n.url, "/look/1", ""))
+	}
+	whole := longListOf(2, false, 1, 1, "DRAINING", oneOf(0, s.Addr(), "DRAINING"))
+	d.Tell(t, whole[:len(whole)-20])
+	WaitFor(t, "the idle connection is closed", func() bool { _, ended := s.Connections(); return ended > 0 })
+	before := s.Seen()
+	for range 20 {
+		if resp, body := exchange(t, request(t, n.url, "/look/1", "")); body != "fine" {
+			t.Errorf("answered %s %q", resp.Status, body)
+		}
+	}
+	if s.Seen() != before {
+		t.Error("something new went to the one that drains")
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -151,13 +151,12 @@
 	pending  map[uint64]*pending
 	peers    map[string]*peer
 	started  map[string]time.Duration
-	sendable int               // peers that may get something new
-	coming   []endpoints.Entry // of long lists, still to be taken in
-	listAt   int               // the next of them
-	told     uint64            // generation of the last list that came
-	asked    bool              // the watch was wanted before
-	laterAt  time.Duration     // when the view is looked at again; 0: never
-	retryAt  time.Duration     // when servers of the past that failed are; 0: never
+	sendable int                // peers that may get something new
+	coming   endpoints.Incoming // of long lists, still to be taken in
+	told     uint64             // generation of the last list that came
+	asked    bool               // the watch was wanted before
+	laterAt  time.Duration      // when the view is looked at again; 0: never
+	retryAt  time.Duration      // when servers of the past that failed are; 0: never
 	timers   timers
 	actions  []decide.Action
 	draw     *rand.Rand
@@ -270,7 +269,7 @@
 		case e.Accepted:
 			l.accepted()
 		default:
-			l.unlisted(e.Failure)
+			l.unlisted(&e)
 		}
 	case turn:
 		l.turn = true
--- a/internal/rig/lab/zone_test.go
+++ b/internal/rig/lab/zone_test.go
@@ -57,6 +57,9 @@
 		t.Log(s)
 	}
 	t.Logf("%d boxes, %d nodes: %.3f served, %d breaches", z.boxes, z.nodes, service(r), len(r.Breaches))
+	for _, b := range r.Breaches {
+		t.Log(b.At, b.What)
+	}
 	check(t, r)
 	if part := service(r); part < leastServed {
 		t.Errorf("%.3f served, want %.2f", part, leastServed)
--- a/internal/servers/endpoints/confirm.go
+++ b/internal/servers/endpoints/confirm.go
@@ -29,11 +29,12 @@
 	Overloaded                // an HTTP error: discovery is down, or has more calls than it can work through
 	Silent                    // nothing came in time on a long poll; the next one begins at once
 	Reset                     // the connection of an open long poll was ended: the network delivers
+	Partial                   // an answer has begun and did not come whole, or has not yet: it counts as told
 )
 
 // String names the reason, as logs have it.
 func (r Reason) String() string {
-	names := [...]string{"unreachable", "overloaded", "silent", "reset"}
+	names := [...]string{"unreachable", "overloaded", "silent", "reset", "partial"}
 	if r < 0 || int(r) >= len(names) {
 		return "unknown"
 	}
@@ -76,7 +77,10 @@
 
 // Failed takes a call that failed and returns until when the list is confirmed.
 func (c *Confirmation) Failed(now time.Duration, failure Failure) (until time.Duration) {
-	if failure.Reason == Silent {
+	switch failure.Reason {
+	case Partial:
+		return now
+	case Silent:
 		begun := now - failure.Took
 		return begun + failure.Wait + toldAfterWait
 	}
--- a/internal/servers/endpoints/view.go
+++ b/internal/servers/endpoints/view.go
@@ -183,6 +183,16 @@
 	return Update{v.out, v.odd, again}
 }
 
+// Partial takes what a list that broke off told of servers that drain or are gone, and returns the changes. The list's
+// generation is not reached: the next one tells the same again.
+func (v *View) Partial(now time.Duration, bad []Entry) []Entry {
+	v.out = v.out[:0]
+	for i := range bad {
+		v.bad(now, &bad[i])
+	}
+	return v.out
+}
+
 // Due passes on what has waited long enough.
 func (v *View) Due(now time.Duration) []Entry {
 	v.out = v.out[:0]
