Split the deciding module by job, and read answers outside the pure packages

Need: decide.go held 1,060 lines of eight jobs; and put io into internal/servers/endpoints, which TestPurePackagesStayPure forbids.

Admission, choice of servers, members and retries have files of their own, all named as policy; each may hold 400 lines (1,200 before). Only moved, but for comments: the sorted lines of decide/ differ by packages' and blocks' heads alone. Reading as it comes stands in internal/node/discovery; endpoints keeps Parse and the form of an entry.

Measured: TestReadAgreesWithParse, TestReadTellsWhatCame; root, decide, endpoints and discovery pass.

--- a/internal/node/discovery/discovery.go
+++ b/internal/node/discovery/discovery.go
@@ -201,7 +201,7 @@
 
 // partial returns what came of an answer that broke off, if that is what an error says.
 func partial(err error) (bad []endpoints.Entry) {
-	var broken *endpoints.PartialError
+	var broken *PartialError
 	if errors.As(err, &broken) {
 		return broken.Bad
 	}
@@ -220,7 +220,7 @@
 func failure(err error, took, wait time.Duration) endpoints.Failure {
 	f := endpoints.Failure{Took: took, Wait: wait}
 	var status statusError
-	var partial *endpoints.PartialError
+	var partial *PartialError
 	switch {
 	case errors.As(err, &partial):
 		f.Reason = endpoints.Partial
@@ -287,7 +287,7 @@
 	whole := time.AfterFunc(answerWait, func() { cancel(errSlow) })
 	defer whole.Stop()
 	body := &progress{Reader: http.MaxBytesReader(nil, resp.Body, mostListSize), more: func() { patience.Reset(answerPause) }}
-	l, err := endpoints.Read(body)
+	l, err := read(body)
 	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
 		return nil, fmt.Errorf("discovery: the answer of %s to /v1/endpoints%s is larger than %d bytes", s.address, query, tooLarge.Limit)
 	}
--- a/policy_test.go
+++ b/policy_test.go
@@ -17,7 +17,7 @@
 // The files that hold decisions are read by auditors: all of them are named in the deploy file, and each is short enough to
 // be read at once.
 func TestPolicyFiles(t *testing.T) {
-	const mostLines, mostColumns = 1200, 110
+	const mostLines, mostColumns = 400, 110
 	deploy, err := os.ReadFile("deploy/balancer.toml")
 	if err != nil {
 		t.Fatal(err)
