Doubt a lost zone as soon as the list is unconfirmed, and lives by connections' own age

The doubt begins with the list's being unconfirmed now, 2 s after the start.

Found by reading on the way: the module counted from which idle connection an attempt went out, and could take a new one for an old one if the loop had not heard of an answer yet. Outcomes tell the connection's age now, which the pool knows.

The lab's tool takes up to 3,200 boxes, 200 with more than one tier (TestBoundsOfTheLab still asked for the old bound).

--- a/cmd/curlewctl/lab.go
+++ b/cmd/curlewctl/lab.go
@@ -50,6 +50,7 @@
 	mostRate  = 20000
 	mostFor   = 30 * time.Minute
 	mostBoxes = 3200
+	mostHosts = 200 // boxes that have a node of their own, in front of a further tier
 	mostNodes = 64
 )
 
@@ -64,6 +65,8 @@
 		return fmt.Errorf("--for is %v, allowed: above 0, up to %v", c.For, mostFor)
 	case c.Boxes < 1 || c.Boxes > mostBoxes:
 		return fmt.Errorf("--boxes is %d, allowed: 1 to %d", c.Boxes, mostBoxes)
+	case c.Tiers > 1 && c.Boxes > mostHosts:
+		return fmt.Errorf("--boxes is %d, allowed with --tiers above 1: 1 to %d, as each box has a node", c.Boxes, mostHosts)
 	case c.Cores < 1 || c.Cores > 256:
 		return fmt.Errorf("--cores is %d, allowed: 1 to 256", c.Cores)
 	case c.Nodes < 1 || c.Nodes > mostNodes:
--- a/cmd/curlewctl/lab_test.go
+++ b/cmd/curlewctl/lab_test.go
@@ -95,7 +95,7 @@
 		t.Errorf("defaults: %+v, %v", c.Lab, err)
 	}
 	for _, args := range []string{
-		"--rate=0", "--rate=-1", "--rate=1e9", "--rate=NaN", "--for=0s", "--for=2h", "--boxes=0", "--boxes=1000",
+		"--rate=0", "--rate=-1", "--rate=1e9", "--rate=NaN", "--for=0s", "--for=2h", "--boxes=0", "--boxes=3201", "--tiers=2 --boxes=201",
 		"--nodes=0", "--nodes=1000", "--tiers=0", "--tiers=9", "--work=0", "--work=inf", "--cores=0", "--retries=9",
 		"--advice=-1s", "--control --tiers=2", "--operator=/does/not/exist", "--no-such-flag", "--for=8",
 	} {
@@ -103,6 +103,9 @@
 			t.Errorf("%s was taken", args)
 		}
 	}
+	if _, err := parse(t, "lab", "--boxes=3200"); err != nil {
+		t.Errorf("3200 boxes: %v", err)
+	}
 	c, err := parse(t, "lab", "--fault", "slow:box=1,by=2", "--fault", "outage")
 	if err != nil {
 		t.Fatal(err)
--- a/decide/api.go
+++ b/decide/api.go
@@ -237,7 +237,8 @@
 	Server  string
 	Result  Result
 	Elapsed time.Duration // since the send
-	Dial    time.Duration // of that, until a new connection was there, if an answer came on one
+	Age     time.Duration // of the connection on which an answer came; 0: not told
+	Dial    time.Duration // of the time since the send, until a new connection was there, if an answer came on one
 	Final   bool          // the request is finished
 	Closed  bool          // its connection is of no further use
 	Spent   int           // further attempts that were made below for this one, of the request's budget
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -74,7 +74,6 @@
 	asking       bool
 	watching     bool
 	askTries     int
-	born         time.Duration   // when the node started
 	heard        time.Duration   // as of when discovery last confirmed the list; 0: never
 	unconfirmed  time.Duration   // from then on unheard drains may count as told; 0: never
 	longest      []time.Duration // largest TTL seen, by class
@@ -86,7 +85,6 @@
 		set:         set,
 		rng:         rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
 		now:         now,
-		born:        now,
 		servers:     map[string]*server{},
 		calls:       map[uint64]*call{},
 		zones:       map[string]*zone{},
@@ -247,11 +245,7 @@
 		s.inflight = max(0, s.inflight-1)
 		s.zone.inflight = max(0, s.zone.inflight-1)
 		b.judge(s, o.Result)
-		opened := now - o.Elapsed
-		if c != nil {
-			opened = c.attempts[o.Attempt].connected(&o)
-		}
-		s.prove(now, &o, opened)
+		s.prove(now, &o)
 		if s.Health == Removed && s.inflight == 0 {
 			delete(b.servers, o.Server)
 		}
@@ -268,7 +262,7 @@
 	}
 	if o.Result == Served || o.Result == Errored || o.Result == Full || o.Result == Spoilt {
 		if b.idled(a, false); !o.Closed && o.Result != Spoilt {
-			a.server.idle = append(a.server.idle, idleConn{since: b.now, opened: a.opened})
+			a.server.idle = append(a.server.idle, b.now)
 		}
 	} else if o.Result == Broken || o.Result == TimedOut && !a.overdue {
 		b.idled(a, true)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -107,7 +107,7 @@
 		b := node(0)
 		b.Members(time.Second, Members{Change: ListFull, Servers: []Server{{ID: "a"}, {ID: "b"}}}, nil)
 		b.set.Prices.Handshake, b.late = c.price, 0.3
-		b.servers["a"].idle = []idleConn{{since: time.Second}}
+		b.servers["a"].idle = []time.Duration{time.Second}
 		b.servers["a"].late, b.servers["a"].lateAt = c.slower-1, time.Second
 		out := b.Request(time.Second, Request{ID: 1, Tenant: -1, TTL: time.Second}, nil)
 		if len(out) == 0 || out[0].Kind != Send || out[0].Server != c.want {
@@ -368,7 +368,7 @@
 // connects costs the servers work and the calls their time.
 func TestMadeConnectionsArePreferredWhereNewOnesFail(t *testing.T) {
 	b := node(6)
-	b.servers["s3"].idle = []idleConn{{since: time.Second}}
+	b.servers["s3"].idle = []time.Duration{time.Second}
 	others := 0
 	for range 40 {
 		if b.pick(&call{}).ID != "s3" {
--- a/decide/proof.go
+++ b/decide/proof.go
@@ -15,9 +15,6 @@
 	// whose process has lived for longer than both counts as serving, whatever was listed of the process
 	// before it.
 	returnTold = 9500 * time.Millisecond
-	// A zone that is lost is listed as gone 4 s later at the soonest, and that counts after 6 s: by then a
-	// node that was lost with it for 6 s or less has run for so long.
-	soonestReturn = 4 * time.Second
 	// Discovery takes a call of each node in 2 s at the fastest, at 60 lines a call: a loss of so many
 	// servers takes it 5 s and more to tell them all, and a node that starts then may not be heard.
 	slowToTell = 150
@@ -44,8 +41,9 @@
 
 // prove books what an outcome says of whether the server takes new work, and of its process: it has lived on
 // since the connection was opened.
-func (s *server) prove(now time.Duration, o *Outcome, opened time.Duration) {
+func (s *server) prove(now time.Duration, o *Outcome) {
 	sent := now - o.Elapsed
+	opened := min(sent, now-o.Age)
 	switch o.Result {
 	case Served:
 		s.provenAt = max(s.provenAt, sent)
@@ -61,14 +59,6 @@
 	s.alive.extend(opened, sent)
 }
 
-// connected is when the connection of an attempt was opened, as its outcome tells.
-func (a *attempt) connected(o *Outcome) time.Duration {
-	if o.Dial > 0 { // none of those that were there was of use
-		a.opened = a.sent
-	}
-	return a.opened
-}
-
 // confirm books until when the list is confirmed.
 func (b *Balancer) confirm(m *Members) {
 	if m.Change == ListDiff || m.Change == ListFull {
@@ -110,8 +100,7 @@
 // can't tell its loss to all nodes in time, a node goes without it until it is heard. Other zones get the
 // benefit of the doubt, and so does the only one.
 func (b *Balancer) lostTogether(s *server) bool {
-	return b.heard == 0 && b.now >= b.born+soonestReturn &&
-		s.near && len(b.others) > 0 && len(b.homes) >= slowToTell
+	return b.heard == 0 && s.near && len(b.others) > 0 && len(b.homes) >= slowToTell
 }
 
 // denied tells whether the server turned work away since it or discovery proved it good.
--- a/decide/retry.go
+++ b/decide/retry.go
@@ -36,8 +36,7 @@
 		left = min(left, c.bounds.AttemptTimeout)
 	}
 	due := b.usually(c)
-	span, opened := b.connect(s)
-	a := attempt{server: s, sent: b.now, due: b.now + due, span: span, opened: opened}
+	a := attempt{server: s, sent: b.now, due: b.now + due, span: b.connect(s)}
 	copying := c.bounds.SecondCopyAfter
 	if copying > 0 && copying < left && c.open == 0 && b.set.Classes[c.Class].Effect == Repeatable {
 		a.copyAt = b.now + copying
@@ -74,31 +73,30 @@
 	return c.ran && class.Effect == Keyed && then-c.ranAt > class.KeyTTL*9/10
 }
 
-// connect takes the connection for a send and returns the span of its idle time, and when it was opened.
-// Connections that idled for as long as those that proved dead are closed first: a new one costs a
-// handshake, a dead one the request. It acts only while sends after such idle times are lost more often than
-// answered, at whatever servers: one server that hangs does not make it so.
-func (b *Balancer) connect(s *server) (span int, opened time.Duration) {
+// connect takes the connection for a send and returns the span of its idle time. Connections that idled for
+// as long as those that proved dead are closed first: a new one costs a handshake, a dead one the request.
+// It acts only while sends after such idle times are lost more often than answered, at whatever servers: one
+// server that hangs does not make it so.
+func (b *Balancer) connect(s *server) int {
 	if len(s.idle) == 0 {
-		return -1, b.now
+		return -1
 	}
-	last := s.idle[len(s.idle)-1]
-	gap := b.now - last.since
+	gap := b.now - s.idle[len(s.idle)-1]
 	s.idle = s.idle[:len(s.idle)-1]
 	if b.set.ConnIdle > 0 && gap >= b.set.ConnIdle {
 		s.idle = s.idle[:0] // closed by itself, and so are those that idled for longer
-		return -1, b.now
+		return -1
 	}
-	span = -1
+	span := -1
 	for d := gapLeast; gap >= d && span < gapSpans-1; d *= 2 {
 		span++
 	}
 	if span >= b.stale {
 		s.idle = s.idle[:0]
 		b.act(Action{Kind: HangUp, Server: s.ID})
-		return -1, b.now
+		return -1
 	}
-	return span, last.opened
+	return span
 }
 
 // idled books whether a send on an idle connection was lost, and finds the shortest idle time after which
--- a/decide/rows.go
+++ b/decide/rows.go
@@ -40,23 +40,19 @@
 	tokens   float64       // sends it may get while cold
 	filled   time.Duration
 	pooled
-	alive  lifetime   // of its process, as far as this node knows
-	idle   []idleConn // the last is used first
-	seen   bool       // named by the whole list that comes now
-	listed bool       // among the members
+	alive  lifetime        // of its process, as far as this node knows
+	idle   []time.Duration // since when its idle connections have been so; the last is used first
+	seen   bool            // named by the whole list that comes now
+	listed bool            // among the members
 	near   bool
 }
 
-// idleConn is a connection that waits for its next send.
-type idleConn struct{ since, opened time.Duration }
-
 // attempt is one send of a request.
 type attempt struct {
 	server  *server
 	sent    time.Duration
 	due     time.Duration // when an answer is out of the usual
 	copyAt  time.Duration // when a second copy may go out; 0: never
-	opened  time.Duration // when its connection was opened
 	span    int           // of the idle time of its connection; -1: none to speak of
 	overdue bool
 	done    bool
--- a/decide/unconfirmed_test.go
+++ b/decide/unconfirmed_test.go
@@ -131,7 +131,7 @@
 		b.Members(heard, Members{Change: ListDiff, Servers: []Server{{ID: "a", Started: c.started}}}, nil)
 		s := b.servers["a"]
 		for _, x := range c.answers {
-			s.prove(x.sent, &Outcome{Result: Served}, x.opened)
+			s.prove(x.sent, &Outcome{Result: Served, Age: x.sent - x.opened})
 		}
 		b.Members(now, Members{Change: ListFailed, Confirmed: now}, nil)
 		if got := !b.unproven(s); got != c.proven {
@@ -144,16 +144,18 @@
 	}
 }
 
-// A connection that an outcome says was new counts from its send, whatever the module took it for.
+// A process has lived on since the connection was opened on which it answered, as the outcome tells, whatever connections the
+// module counts: those that idled while a server was away are dead. Untold, only the send counts.
 func TestLifeBeginsWithTheConnection(t *testing.T) {
-	for dial, want := range map[time.Duration]time.Duration{0: time.Second, ms: 9 * time.Second} {
+	for age, want := range map[time.Duration]time.Duration{7 * time.Second: 2010 * ms, 20 * ms: 8990 * ms, 0: 9 * time.Second} {
 		b := askingNode("a")
 		ask(b, time.Second, serveAll) // leaves a connection
+		b.servers["a"].alive = lifetime{}
 		nextID++
 		b.Request(9*time.Second, Request{ID: nextID, Tenant: -1, TTL: time.Second}, nil)
-		b.Outcome(9*time.Second+10*ms, Outcome{Request: nextID, Server: "a", Result: Served, Elapsed: 10 * ms, Dial: dial, Final: true}, nil)
+		b.Outcome(9*time.Second+10*ms, Outcome{Request: nextID, Server: "a", Result: Served, Elapsed: 10 * ms, Age: age, Final: true}, nil)
 		if got := b.servers["a"].alive.from; got != want {
-			t.Errorf("dialled for %v: it lives since %v, want %v", dial, got, want)
+			t.Errorf("on a connection of %v: it lives since %v, want %v", age, got, want)
 		}
 	}
 }
@@ -187,10 +189,10 @@
 		near := func(from, until time.Duration) bool {
 			return slices.ContainsFunc(asked(b, from, until, serveAll), func(s string) bool { return strings.HasPrefix(s, "near") })
 		}
-		if !near(time.Second, time.Second+soonestReturn) {
+		if !near(time.Second, 3*time.Second) {
 			t.Errorf("%s: none of it is asked before its loss can count", c.name)
 		}
-		if got := near(time.Second+soonestReturn, 20*time.Second); got == c.nearIsDoubted {
+		if got := near(3*time.Second, 20*time.Second); got == c.nearIsDoubted {
 			t.Errorf("%s: asked while discovery is not heard: %v", c.name, got)
 		}
 		if got := asked(b, 20*time.Second, 21*time.Second, serveAll); len(got) == 0 {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -395,7 +395,7 @@
 	l.forget(p)
 	l.carryOut(l.balancer.Outcome(l.now, decide.Outcome{
 		Request: p.request.ID, Attempt: e.number, Server: e.server, Result: e.Result,
-		Elapsed: e.elapsed, Dial: e.Dial, Final: final, Closed: e.Closed, Spent: below,
+		Elapsed: e.elapsed, Age: e.Age, Dial: e.Dial, Final: final, Closed: e.Closed, Spent: below,
 	}, l.actions[:0]))
 	l.weigh(e.server, e.Result, e.elapsed-e.Dial)
 }
--- a/internal/node/upstream/exchange.go
+++ b/internal/node/upstream/exchange.go
@@ -37,6 +37,7 @@
 		dialled = u.clock.Now() - begun
 	}
 	o, keep := u.exchange(t, c, p, q, more, by, until)
+	o.Age = u.clock.Now() - c.opened
 	if keep = keep && u.put(p, c); !keep {
 		u.discard(c, p.ID, CloseUsed)
 	}
--- a/internal/node/upstream/pool.go
+++ b/internal/node/upstream/pool.go
@@ -54,6 +54,7 @@
 	Response *Response     // served
 	Closed   bool          // its connection is not kept
 	Spent    []string      // the answer's word of what was spent of a budget
+	Age      time.Duration // of the connection on which it was made
 	Dial     time.Duration // how long a new connection took; 0: it went out on one that was there
 }
 
@@ -79,6 +80,7 @@
 type conn struct {
 	net.Conn
 	address   string
+	opened    time.Duration
 	server    string            // whose it is, once it has idled
 	limit     *io.LimitedReader // what the answer may still bring
 	reader    *bufio.Reader     // reads from limit
@@ -340,6 +342,6 @@
 	}
 	limit := &io.LimitedReader{R: nc}
 	return &conn{
-		Conn: nc, address: p.Address, limit: limit, reader: bufio.NewReader(limit), raw: raw, sockets: u.sockets,
+		Conn: nc, address: p.Address, opened: u.clock.Now(), limit: limit, reader: bufio.NewReader(limit), raw: raw, sockets: u.sockets,
 	}, nil
 }
--- a/internal/node/upstream/upstream_test.go
+++ b/internal/node/upstream/upstream_test.go
@@ -200,3 +200,22 @@
 		t.Errorf("%d sockets are left", budget.open.Load())
 	}
 }
+
+// The age of a connection tells for how long its server's process has lived on: it must go on from one attempt to the next, and
+// begin anew with a connection that had to be made because the one before was dead.
+func TestAgeIsTheConnections(t *testing.T) {
+	u := newTestUpstream()
+	s := NewServer(t, Say("fine"))
+	first := testAttempt(t, u, s.Addr())
+	WaitFor(t, "some time passes", func() bool { return u.clock.Now() > 20*time.Millisecond })
+	begun := u.clock.Now()
+	second := testAttempt(t, u, s.Addr())
+	if second.Age <= first.Age || second.Dial > 0 {
+		t.Errorf("used again after %v: %v old", first.Age, second.Age)
+	}
+	s.CloseClientConnections() // its process is another one
+	WaitFor(t, "the connection is dead", func() bool { return u.Alive("s0") == 0 })
+	if third := testAttempt(t, u, s.Addr()); third.Result != decide.Served || third.Age > u.clock.Now()-begun {
+		t.Errorf("after the connection died: %v, %v old", third.Result, third.Age)
+	}
+}
--- a/internal/rig/virtual/nodes.go
+++ b/internal/rig/virtual/nodes.go
@@ -77,7 +77,9 @@
 	if cut { // it goes out on a connection that is there, and is never heard of again
 		return
 	}
-	n.used[b] = struct{}{}
+	if _, has := n.used[b]; !has {
+		n.used[b] = r.now
+	}
 	if n.idle[b] > 0 {
 		n.idle[b]--
 	} else {
@@ -96,13 +98,20 @@
 	if result == decide.Served || result == decide.Errored || result == decide.Full {
 		n.idle[t.box]++
 	}
+	age := time.Duration(0)
+	if since, has := n.used[t.box]; has {
+		age = r.now - since
+	}
+	if result == decide.Unconnected {
+		delete(n.used, t.box)
+	}
 	final := t.call.answered
 	if result == decide.Served && !final {
 		r.answer(n, t.call, judge.Served, 0, t.box.id)
 		final = true
 	}
 	r.carry(n, n.b.Outcome(r.start(r.now), decide.Outcome{
-		Request: t.call.id, Attempt: t.number, Server: t.box.id, Result: result, Elapsed: r.now - t.sent, Final: final,
+		Request: t.call.id, Attempt: t.number, Server: t.box.id, Result: result, Elapsed: r.now - t.sent, Age: age, Final: final,
 	}, n.buf[:0]))
 	r.weigh(n, t.box.id, result)
 }
--- a/internal/rig/virtual/run.go
+++ b/internal/rig/virtual/run.go
@@ -62,8 +62,8 @@
 	buf    []decide.Action
 	dead   bool
 	life   int
-	used   map[*box]struct{}
-	idle   map[*box]int // connections
+	used   map[*box]time.Duration // since when it has connections to a box
+	idle   map[*box]int           // connections
 	nextID uint64
 	// While it goes by an old list:
 	doubts  *doubt.Table
@@ -242,7 +242,7 @@
 }
 
 func (r *run) newNode(i, tier, site int) *node {
-	n := &node{index: i, tier: tier, site: site, name: fmt.Sprintf("n%d-%d", tier, i), used: map[*box]struct{}{}}
+	n := &node{index: i, tier: tier, site: site, name: fmt.Sprintf("n%d-%d", tier, i), used: map[*box]time.Duration{}}
 	r.begin(n)
 	return n
 }
