After an overloaded call an open long poll confirms the list for 6 s alone

An open poll of a discovery with too many calls says nothing of what changes then: that may wait in its queue.

--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -35,8 +35,9 @@
 
 // accepted takes word that discovery keeps a long poll open: it has nothing newer.
 func (l *loop) accepted() {
+	asOf, until := l.confirmation.Accepted(l.now)
 	l.carryOut(l.balancer.Members(l.now, decide.Members{
-		Change: decide.ListKept, AsOf: max(1, l.confirmation.Accepted(l.now)), There: l.past.there(), Rate: l.past.rate(),
+		Change: decide.ListKept, AsOf: max(1, asOf), Confirmed: until, There: l.past.there(), Rate: l.past.rate(),
 	}, l.actions[:0]))
 }
 
--- a/internal/servers/endpoints/confirm.go
+++ b/internal/servers/endpoints/confirm.go
@@ -51,17 +51,22 @@
 // Confirmation tracks until when a node's list is as good as confirmed: no change that the node has not received can count
 // as told to it before.
 type Confirmation struct {
-	heard time.Duration // every change that discovery had by then has been received
+	heard      time.Duration // every change that discovery had by then has been received
+	overloaded bool          // the last call that ended did so as discovery has too many
 }
 
 // AcceptedAfter is how long a long poll has to be out until discovery surely keeps it open: what it had for the node by the
 // time at which the call came would have been written, or the call have failed in the queue.
 const AcceptedAfter = longestQueue + 500*time.Millisecond
 
-// Accepted takes a long poll that has been out for AcceptedAfter, and returns as of when that confirms the list.
-func (c *Confirmation) Accepted(now time.Duration) (asOf time.Duration) {
+// Accepted takes a long poll that has been out for AcceptedAfter. It returns as of when that confirms the list, and until when: 0,
+// as long as the poll is open, unless discovery has too many calls. Then what changes may wait in its queue for too long.
+func (c *Confirmation) Accepted(now time.Duration) (asOf, until time.Duration) {
 	c.heard = max(c.heard, now-AcceptedAfter)
-	return c.heard
+	if c.overloaded {
+		until = c.Until()
+	}
+	return c.heard, until
 }
 
 // NewConfirmation is for a node that starts now, with the list that it had before.
@@ -73,7 +78,7 @@
 func (c *Confirmation) Until() time.Duration { return c.heard + toldAfterFailure }
 
 // Answered takes an answer of discovery.
-func (c *Confirmation) Answered(now time.Duration) { c.heard = now }
+func (c *Confirmation) Answered(now time.Duration) { c.heard, c.overloaded = now, false }
 
 // Failed takes a call that failed and returns until when the list is confirmed.
 func (c *Confirmation) Failed(now time.Duration, failure Failure) (until time.Duration) {
@@ -84,6 +89,7 @@
 		begun := now - failure.Took
 		return begun + failure.Wait + toldAfterWait
 	}
+	c.overloaded = failure.Reason == Overloaded
 	if failure.Took > openAfter {
 		if failure.Reason == Overloaded {
 			now -= longestQueue
--- a/internal/servers/endpoints/confirm_test.go
+++ b/internal/servers/endpoints/confirm_test.go
@@ -34,10 +34,17 @@
 		t.Errorf("after a move: confirmed until %v", until)
 	}
 	accepted := NewConfirmation(0)
-	if asOf := accepted.Accepted(30 * time.Second); asOf != 30*time.Second-AcceptedAfter {
-		t.Errorf("an open poll confirms the list as of %v", asOf)
+	if asOf, until := accepted.Accepted(30 * time.Second); asOf != 30*time.Second-AcceptedAfter || until != 0 {
+		t.Errorf("an open poll confirms the list as of %v until %v", asOf, until)
 	}
 	if until := accepted.Failed(31*time.Second, Failure{Reason: Overloaded}); until != 36*time.Second-AcceptedAfter {
 		t.Errorf("after an open poll and a call in vain: confirmed until %v", until)
 	}
+	if asOf, until := accepted.Accepted(40 * time.Second); until != asOf+6*time.Second {
+		t.Errorf("an open poll of an overloaded discovery confirms the list as of %v until %v", asOf, until)
+	}
+	accepted.Answered(41 * time.Second)
+	if _, until := accepted.Accepted(50 * time.Second); until != 0 {
+		t.Errorf("an open poll after an answer confirms the list until %v", until)
+	}
 }
