After any call that failed an open long poll confirms the list for 6 s alone

All polls are reset early, discovery takes 8 s for a call of each node, a server drains at 4.53 s, which counts at 10.53 s.

Any failed call, and a move, have open polls confirm for 6 s from their begin, until discovery answers.

--- a/internal/servers/endpoints/confirm.go
+++ b/internal/servers/endpoints/confirm.go
@@ -51,8 +51,8 @@
 // Confirmation tracks until when a node's list is as good as confirmed: no change that the node has not received can count
 // as told to it before.
 type Confirmation struct {
-	heard      time.Duration // every change that discovery had by then has been received
-	overloaded bool          // the last call that ended did so as discovery has too many
+	heard    time.Duration // every change that discovery had by then has been received
+	troubled bool          // a call has failed, or discovery has moved, since its last answer
 }
 
 // AcceptedAfter is how long a long poll has to be out until discovery surely keeps it open: what it had for the node by the
@@ -60,10 +60,11 @@
 const AcceptedAfter = longestQueue + 500*time.Millisecond
 
 // Accepted takes a long poll that has been out for AcceptedAfter. It returns as of when that confirms the list, and until when: 0,
-// as long as the poll is open, unless discovery has too many calls. Then what changes may wait in its queue for too long.
+// as long as the poll is open, unless a call has failed since the last answer. Discovery may then be so slow that what changes waits
+// in its queue for too long.
 func (c *Confirmation) Accepted(now time.Duration) (asOf, until time.Duration) {
 	c.heard = max(c.heard, now-AcceptedAfter)
-	if c.overloaded {
+	if c.troubled {
 		until = c.Until()
 	}
 	return c.heard, until
@@ -78,10 +79,11 @@
 func (c *Confirmation) Until() time.Duration { return c.heard + toldAfterFailure }
 
 // Answered takes an answer of discovery.
-func (c *Confirmation) Answered(now time.Duration) { c.heard, c.overloaded = now, false }
+func (c *Confirmation) Answered(now time.Duration) { c.heard, c.troubled = now, false }
 
 // Failed takes a call that failed and returns until when the list is confirmed.
 func (c *Confirmation) Failed(now time.Duration, failure Failure) (until time.Duration) {
+	c.troubled = true
 	switch failure.Reason {
 	case Partial:
 		return now
@@ -89,7 +91,6 @@
 		begun := now - failure.Took
 		return begun + failure.Wait + toldAfterWait
 	}
-	c.overloaded = failure.Reason == Overloaded
 	if failure.Took > openAfter {
 		if failure.Reason == Overloaded {
 			now -= longestQueue
@@ -100,4 +101,7 @@
 }
 
 // Moved takes a move of discovery to another address and returns until when the list is confirmed.
-func (c *Confirmation) Moved(now time.Duration) (until time.Duration) { return now + toldAfterMove }
+func (c *Confirmation) Moved(now time.Duration) (until time.Duration) {
+	c.troubled = true
+	return now + toldAfterMove
+}
--- a/internal/servers/endpoints/confirm_test.go
+++ b/internal/servers/endpoints/confirm_test.go
@@ -41,7 +41,19 @@
 		t.Errorf("after an open poll and a call in vain: confirmed until %v", until)
 	}
 	if asOf, until := accepted.Accepted(40 * time.Second); until != asOf+6*time.Second {
-		t.Errorf("an open poll of an overloaded discovery confirms the list as of %v until %v", asOf, until)
+		t.Errorf("an open poll after a call in vain confirms the list as of %v until %v", asOf, until)
+	}
+	for _, failure := range []Failure{{Reason: Unreachable}, {Reason: Reset, Took: time.Second}, {Reason: Silent, Took: time.Second}, {Reason: Partial}} {
+		accepted.Answered(41 * time.Second)
+		accepted.Failed(42*time.Second, failure)
+		if asOf, until := accepted.Accepted(50 * time.Second); until != asOf+6*time.Second {
+			t.Errorf("an open poll after a %v call confirms the list as of %v until %v", failure.Reason, asOf, until)
+		}
+	}
+	accepted.Answered(41 * time.Second)
+	accepted.Moved(42 * time.Second)
+	if asOf, until := accepted.Accepted(50 * time.Second); until != asOf+6*time.Second {
+		t.Errorf("an open poll after a move confirms the list as of %v until %v", asOf, until)
 	}
 	accepted.Answered(41 * time.Second)
 	if _, until := accepted.Accepted(50 * time.Second); until != 0 {
