Take the list that a node starts with for old only where it is long

Taken from 2 s after the start on, the list is unconfirmed for longer, and a node with little traffic goes by ever fewer of three servers by then.

--- a/internal/servers/endpoints/confirm.go
+++ b/internal/servers/endpoints/confirm.go
@@ -11,8 +11,10 @@
 	// toldAfterMove holds once discovery has moved to another address.
 	toldAfterMove = 4 * time.Second
 	// A node that starts has the list of its last life, which ended this long before at the most, as far as it can tell.
-	// What changed since counts as told to it like to any other.
+	// What changed since counts as told to it like to any other. That is of weight where the list is so long that discovery
+	// may be too busy to tell: a node with a short one is answered before, and would go by few servers in vain.
 	longestRestart = 4 * time.Second
+	longList       = 150
 	// Discovery gives calls up that have waited in its queue for so long. That may have been the answer to a long poll.
 	longestQueue = 3 * time.Second
 	// A call that fails sooner than this may have waited in discovery's queue all the time. One that lasted longer was an
@@ -70,9 +72,16 @@
 	return c.heard, until
 }
 
-// NewConfirmation is for a node that starts now, with the list that it had before.
-func NewConfirmation(now time.Duration) *Confirmation {
-	return &Confirmation{heard: now - longestRestart}
+// NewConfirmation is for a node that starts now.
+func NewConfirmation(now time.Duration) *Confirmation { return &Confirmation{heard: now} }
+
+// Begin takes the list of so many servers that a node starts with, and returns until when it is confirmed; 0: until a call fails.
+func (c *Confirmation) Begin(servers int) (until time.Duration) {
+	if servers < longList {
+		return 0
+	}
+	c.heard -= longestRestart
+	return c.Until()
 }
 
 // Until is until when the list is confirmed as long as nothing is heard of discovery.
