--- a/internal/node/discovery/discovery.go
+++ b/internal/node/discovery/discovery.go
@@ -279,6 +279,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
+		io.Copy(io.Discard, io.LimitReader(resp.Body, mostListHead)) // else its connection is of no further use
 		return nil, statusError(resp.Status)
 	}
 	patience.Reset(answerPause)
--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -28,8 +28,11 @@
 	}
 	l.view.Begin(stored)
 	l.members(stored, decide.ListStored)
-	if l.set.MustAsk { // the list is as old as the last life
-		l.unconfirm(l.confirmation.Until())
+	if !l.set.MustAsk {
+		return
+	}
+	if until := l.confirmation.Begin(len(stored.Entries)); until > 0 { // the list is as old as the last life
+		l.unconfirm(until)
 	}
 }
 
--- a/internal/servers/endpoints/confirm_test.go
+++ b/internal/servers/endpoints/confirm_test.go
@@ -27,8 +27,18 @@
 			t.Errorf("%s: confirmed until %v, want %v", name, until, c.until)
 		}
 	}
-	if until := NewConfirmation(10*time.Second).Failed(11*time.Second, Failure{Reason: Overloaded}); until != 12*time.Second {
-		t.Errorf("a new process: confirmed until %v, want 6 s from the end of its last life, 4 s before its start at the most", until)
+	if until := NewConfirmation(time.Second).Failed(3*time.Second, Failure{Reason: Overloaded}); until != 7*time.Second {
+		t.Errorf("a new process: confirmed until %v, want 6 s from its start", until)
+	}
+	long, short := NewConfirmation(10*time.Second), NewConfirmation(10*time.Second)
+	if until := long.Begin(longList); until != 12*time.Second {
+		t.Errorf("a long list: confirmed until %v, want 6 s from the end of the last life, 4 s before the start at the most", until)
+	}
+	if until := short.Begin(longList - 1); until != 0 {
+		t.Errorf("a short list: confirmed until %v, want until a call fails", until)
+	}
+	if until := long.Failed(11*time.Second, Failure{Reason: Overloaded}); until != 12*time.Second {
+		t.Errorf("a long list and a call in vain: confirmed until %v", until)
 	}
 	if until := NewConfirmation(0).Moved(time.Minute); until != 64*time.Second {
 		t.Errorf("after a move: confirmed until %v", until)
