Take an answer for as old as it may have waited in discovery's queue

On the slow machine the loss was listed in two steps, at 6.4 and 6.8 s; an answer made for the first step waits in the queue, comes at up to 9 s and confirmed the list as of then, so the second step went unheard with the list confirmed up to 15 s.

An answer that comes before its wait is over confirms the list as of up to 3 s before, and no earlier than its call; one that ends the wait, as of the wait's end. The module takes that time over the one at which the list came.

--- a/decide/proof.go
+++ b/decide/proof.go
@@ -65,7 +65,7 @@
 		b.heard, b.unconfirmed = b.now, 0
 	}
 	if m.AsOf > 0 {
-		b.heard, b.unconfirmed = max(b.heard, m.AsOf), 0
+		b.heard, b.unconfirmed = m.AsOf, 0
 	}
 	if m.Confirmed > 0 && (b.unconfirmed == 0 || m.Confirmed < b.unconfirmed) {
 		b.unconfirmed = m.Confirmed
--- a/internal/node/discovery/discovery.go
+++ b/internal/node/discovery/discovery.go
@@ -57,6 +57,8 @@
 // Update is what came of a call to discovery.
 type Update struct {
 	List     *endpoints.List   // nil: the call failed, or is still out
+	Took     time.Duration     // List: the call
+	Wait     time.Duration     // List: for which discovery was asked to wait for changes
 	Accepted bool              // it is a long poll that discovery keeps open: it has nothing newer than this node
 	Failure  endpoints.Failure // why there is no list; meaningless otherwise
 	Bad      []endpoints.Entry // Partial: servers that drain or are gone, by what has come
@@ -190,7 +192,7 @@
 		if err != nil {
 			d.log.Warn("asking for the list failed", "err", err)
 		}
-		d.report(Update{List: l, Failure: failure(err, time.Since(begun), 0), Bad: partial(err)})
+		d.report(Update{List: l, Took: time.Since(begun), Failure: failure(err, time.Since(begun), 0), Bad: partial(err)})
 	}
 }
 
--- a/internal/node/discovery/watch.go
+++ b/internal/node/discovery/watch.go
@@ -239,7 +239,7 @@
 		return // the other call has brought a newer one meanwhile
 	}
 	w.since = &e.list.Generation
-	w.report(Update{List: e.list})
+	w.report(Update{List: e.list, Took: time.Since(e.begun), Wait: e.wait})
 }
 
 // failed takes the end of the newest call, which brought no list.
--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -52,9 +52,10 @@
 }
 
 // listed takes a list that discovery has told.
-func (l *loop) listed(m *endpoints.List) {
+func (l *loop) listed(answer *discovery.Update) {
+	m := answer.List
 	l.told = m.Generation
-	l.confirmation.Answered(l.now)
+	asOf := max(1, l.confirmation.Answered(l.now, answer.Took, answer.Wait))
 	u := l.view.Apply(l.now, m)
 	l.trace.listed(m, len(u.Changes))
 	l.strange(u.Odd)
@@ -77,6 +78,9 @@
 	}
 	l.remember(m, u.Changes)
 	l.changed(changes, decide.ListDiff)
+	l.carryOut(l.balancer.Members(l.now, decide.Members{
+		Change: decide.ListKept, AsOf: asOf, There: l.past.there(), Rate: l.past.rate(),
+	}, l.actions[:0]))
 	l.later()
 }
 
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -265,7 +265,7 @@
 	case discovery.Update:
 		switch {
 		case e.List != nil:
-			l.listed(e.List)
+			l.listed(&e)
 		case e.Accepted:
 			l.accepted()
 		default:
--- a/internal/servers/endpoints/confirm.go
+++ b/internal/servers/endpoints/confirm.go
@@ -87,8 +87,15 @@
 // Until is until when the list is confirmed as long as nothing is heard of discovery.
 func (c *Confirmation) Until() time.Duration { return c.heard + toldAfterFailure }
 
-// Answered takes an answer of discovery.
-func (c *Confirmation) Answered(now time.Duration) { c.heard, c.troubled = now, false }
+// Answered takes an answer to a call that took so long and let discovery wait for changes, and returns as of when it confirms the
+// list. One that came before the end of that wait may have been made up to longestQueue before, and have waited in the queue.
+func (c *Confirmation) Answered(now, took, wait time.Duration) (asOf time.Duration) {
+	if asOf = now - min(took, longestQueue); wait > 0 && took >= wait {
+		asOf = now - (took - wait)
+	}
+	c.heard, c.troubled = max(c.heard, asOf), false
+	return c.heard
+}
 
 // Failed takes a call that failed and returns until when the list is confirmed.
 func (c *Confirmation) Failed(now time.Duration, failure Failure) (until time.Duration) {
--- a/internal/servers/endpoints/confirm_test.go
+++ b/internal/servers/endpoints/confirm_test.go
@@ -22,7 +22,7 @@
 		"no connection, much later":  {50 * time.Second, Failure{Reason: Unreachable}, 16 * time.Second},
 	} {
 		confirmation := NewConfirmation(time.Second)
-		confirmation.Answered(heard)
+		confirmation.Answered(heard, 0, 0)
 		if until := confirmation.Failed(c.now, c.failure); until != c.until {
 			t.Errorf("%s: confirmed until %v, want %v", name, until, c.until)
 		}
@@ -54,19 +54,30 @@
 		t.Errorf("an open poll after a call in vain confirms the list as of %v until %v", asOf, until)
 	}
 	for _, failure := range []Failure{{Reason: Unreachable}, {Reason: Reset, Took: time.Second}, {Reason: Silent, Took: time.Second}, {Reason: Partial}} {
-		accepted.Answered(41 * time.Second)
+		accepted.Answered(41*time.Second, 0, 0)
 		accepted.Failed(42*time.Second, failure)
 		if asOf, until := accepted.Accepted(50 * time.Second); until != asOf+6*time.Second {
 			t.Errorf("an open poll after a %v call confirms the list as of %v until %v", failure.Reason, asOf, until)
 		}
 	}
-	accepted.Answered(41 * time.Second)
+	accepted.Answered(41*time.Second, 0, 0)
 	accepted.Moved(42 * time.Second)
 	if asOf, until := accepted.Accepted(50 * time.Second); until != asOf+6*time.Second {
 		t.Errorf("an open poll after a move confirms the list as of %v until %v", asOf, until)
 	}
-	accepted.Answered(41 * time.Second)
+	accepted.Answered(41*time.Second, 0, 0)
 	if _, until := accepted.Accepted(50 * time.Second); until != 0 {
 		t.Errorf("an open poll after an answer confirms the list until %v", until)
 	}
+	for _, c := range []struct{ took, wait, age time.Duration }{
+		{30 * time.Second, 30 * time.Second, 0},                              // nothing has changed up to the end of the wait
+		{30200 * time.Millisecond, 30 * time.Second, 200 * time.Millisecond}, // written a little later
+		{20 * time.Second, 30 * time.Second, longestQueue},                   // a change, which may have waited in the queue
+		{time.Second, 30 * time.Second, time.Second},                         // no older than the call
+		{time.Second, 0, time.Second},                                        // a whole list
+	} {
+		if asOf := NewConfirmation(0).Answered(time.Minute, c.took, c.wait); asOf != time.Minute-c.age {
+			t.Errorf("an answer after %v of %v confirms the list as of %v, want %v before it came", c.took, c.wait, asOf, c.age)
+		}
+	}
 }
