Try another port where the one chosen for UDP is taken for TCP

A node with Listen at port 0 would have ended its start by it.

Both are bound together now; with a port of the system's choice up to 16 are tried, a named one is tried once.

--- a/internal/node/members/members.go
+++ b/internal/node/members/members.go
@@ -93,13 +93,10 @@
 			m.close()
 		}
 	}()
-	if m.udp, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(set.Listen)); err != nil {
-		return nil, fmt.Errorf("members: %w", err)
+	if m.udp, m.tcp, err = bind(set.Listen, listenTCP); err != nil {
+		return nil, err
 	}
 	at := m.udp.LocalAddr().(*net.UDPAddr).AddrPort()
-	if m.tcp, err = net.ListenTCP("tcp", net.TCPAddrFromAddrPort(at)); err != nil {
-		return nil, fmt.Errorf("members: %w", err)
-	}
 	if !m.set.Advertise.IsValid() {
 		m.set.Advertise = at
 	}
