Red: nodes restarted with a zone ask after its loss counts as told

Debug lines of the restarted nodes: discovery answers each within 0.05 to 0.7 s, but they make their first call up to 4 s after their start, and the loss counts as told 3.1 s after it.

Change: TestZoneReturnsBeforeItsNodesAsk plays that with 42 real nodes and 48 boxes, TestStartedNodesAskBeforeALossCounts gives the bound by itself. The lab's other zone tests take 10 requests a second and node, as before, written so.

--- a/internal/rig/lab/zone_test.go
+++ b/internal/rig/lab/zone_test.go
@@ -16,13 +16,15 @@
 	boxes int
 	nodes int
 	lines float64 // that discovery can write in a second
+	// The loss is listed so long after it happened, and changes are published so often.
+	noticed, publishEvery time.Duration
 }
 
 const (
 	zoneLostAt   = time.Second
 	zoneLostFor  = 5 * time.Second
-	zoneNoticed  = 4 * time.Second // it is listed as gone so long after the loss
 	zoneReturned = 2 * time.Second // and each box as serving so long after its start
+	nodeRate     = 10              // requests a second
 	leastServed  = 0.75            // of the requests: a node that sends nothing keeps every rule
 )
 
@@ -32,8 +34,8 @@
 	o := options()
 	o.Nodes, o.Plan.Boxes = z.nodes, z.boxes
 	o.Plan.Registry = registry.Settings{} // until all are ready
-	o.Plan.LossNotice, o.Plan.Notice, o.Plan.PublishEvery = zoneNoticed, zoneReturned, 400*time.Millisecond
-	o.Traffic.Rate, o.Traffic.For = 240, zoneLostAt+zoneLostFor+zoneNoticed+8*time.Second
+	o.Plan.LossNotice, o.Plan.Notice, o.Plan.PublishEvery = z.noticed, zoneReturned, z.publishEvery
+	o.Traffic.Rate, o.Traffic.For = nodeRate*float64(z.nodes), zoneLostAt+zoneLostFor+z.noticed+8*time.Second
 	lost := o.Plan.Sites[0]
 	o.Faults = append(o.Faults, standin.Fault{Kind: "crash", Site: lost, At: zoneLostAt, For: zoneLostFor})
 	for i := 0; i < z.nodes; i += len(o.Plan.Sites) { // the nodes of that site
@@ -70,11 +72,17 @@
 // old as the loss, and discovery is busy telling the others: what they can't have heard of counts as told to them all the
 // same. Boxes that are back serve whoever asks, so that they do proves nothing.
 func TestZoneReturnsToALargeFleet(t *testing.T) {
-	zoneLoss{boxes: 1600, nodes: 24, lines: 2400}.play(t)
+	zoneLoss{boxes: 1600, nodes: 24, lines: 2400, noticed: 4 * time.Second, publishEvery: 400 * time.Millisecond}.play(t)
 }
 
 // The same with a few boxes, of which every node hears in time: that is why it takes thousands to show.
 func TestZoneReturnsToASmallFleet(t *testing.T) {
 	t.Parallel()
-	zoneLoss{boxes: 48, nodes: 24, lines: 2400}.play(t)
+	zoneLoss{boxes: 48, nodes: 24, lines: 2400, noticed: 4 * time.Second, publishEvery: 400 * time.Millisecond}.play(t)
+}
+
+// A zone of a few boxes is lost and is listed as gone soon: that counts as told to its nodes 3 s after their start. So many
+// nodes take turns to ask, and those that ask last must have done so by then.
+func TestZoneReturnsBeforeItsNodesAsk(t *testing.T) {
+	zoneLoss{boxes: 48, nodes: 42, lines: 2400, noticed: 1500 * time.Millisecond, publishEvery: 100 * time.Millisecond}.play(t)
 }
--- a/internal/servers/endpoints/asking_test.go
+++ b/internal/servers/endpoints/asking_test.go
@@ -167,3 +167,16 @@
 		}
 	}
 }
+
+// A node that was lost with its zone and starts again must have asked, with time left for the answer, before the loss counts as
+// told to it: the zone is away for 5 s, and listed as gone 2 s after its loss at the soonest. Whatever the size of its tier,
+// and whichever its turn.
+func TestStartedNodesAskBeforeALossCounts(t *testing.T) {
+	const away, noticed, forTheAnswer = 5 * time.Second, 2 * time.Second, 500 * time.Millisecond
+	counts := noticed + toldAfterFailure - away
+	for _, nodes := range []int{1, 8, 47, 267, 900, 5400} {
+		if last := NewAsking(nodes, 0).First(true, 1); last+forTheAnswer > counts {
+			t.Errorf("%d nodes: the last asks %v after its start, a loss counts after %v", nodes, last, counts)
+		}
+	}
+}
