A node that starts with a list makes its first call within 2.5 s

Cause: first calls were spread over up to 4 s, 100 ms a node, whatever the start followed on. A node that was lost with its zone for 5 s starts 3 s before the loss counts as told, so those with a late turn sent to servers that were back but counted as gone.

Change: first calls at the start are spread over 2.5 s at most; after a move of discovery over 4 s as before.

--- a/internal/servers/endpoints/asking.go
+++ b/internal/servers/endpoints/asking.go
@@ -21,6 +21,9 @@
 	// A node with a list asks for its changes later than one that has none, as each of these.
 	firstANode = 100 * time.Millisecond
 	mostFirst  = 4 * time.Second
+	// A node that starts may have been away for 5 s. A loss that discovery lists 2 s after it counts as told 6 s later, so 3 s
+	// after the start: the first call must have been answered by then.
+	mostAtStart = 2500 * time.Millisecond
 	// A call that was given up in discovery's queue cost discovery its work all the same: the next waits longer, up to
 	// what a fleet of this size may have to wait. In a small one a network that swallows calls is found sooner.
 	patienceTimes = 2
@@ -140,7 +143,7 @@
 	if !haveList {
 		return 0
 	}
-	return time.Duration(turn * float64(a.Spread()))
+	return time.Duration(turn * float64(min(a.Spread(), mostAtStart)))
 }
 
 // Spread is the time over which the first calls of a fleet are spread.
