Show operators and tests when a change of voters has ended

Cause of TestLeasesVotersReplaced, which failed once on a busy machine: the test killed a second voter as soon as the one with a lost disk had its new number and some of the log. The change of voters had not ended by then, so the old number still counted: two of three voters were gone, and nobody could lead until the second was back. That is inherent in such a change; the test's premise was wrong.

The lab's test waits for it at both voters that stay, 5 s at the most, before it kills the next; all its other bounds are as before. TestASecondLossAfterALostDisk plays the second loss after each of the first 24 messages, of the leader and of another: where both voters say that the change has ended they must go on by themselves.

--- a/cmd/curlewctl/lease.go
+++ b/cmd/curlewctl/lease.go
@@ -211,6 +211,9 @@
 	if s.Voter && !s.Cleared {
 		fmt.Fprintln(w, "         it waits for a majority's word that its disk is no older than it was")
 	}
+	if s.Voter && s.Cleared && !s.Settled {
+		fmt.Fprintln(w, "         a seat changes hands: until that has ended the loss of one more voter may leave no majority")
+	}
 	if s.Hung {
 		fmt.Fprintln(w, "         ITS DISK HANGS: it says nothing until a write ends")
 	}
--- a/internal/fleet/council/council_test.go
+++ b/internal/fleet/council/council_test.go
@@ -535,3 +535,83 @@
 	f.held = nil
 	f.until("both are in", 20*time.Second, func() bool { return f.leader() != nil && changed() == 2 })
 }
+
+// A voter's disk is lost, and another voter ends so many messages after it is taken in anew. Its old number counts until
+// the voters have changed, so that may leave no majority until the other is back; once both that are left say that the
+// change has ended, they must go on by themselves.
+func TestASecondLossAfterALostDisk(t *testing.T) {
+	early, late := 0, 0
+	for _, ofLeader := range []bool{true, false} {
+		for messages := range 24 {
+			f, seats := founded(t, 5, 3)
+			loss := newSecondLoss(f, seats, ofLeader)
+			settled := loss.play(messages)
+			f.run(10 * time.Second)
+			switch led := f.leader() != nil; {
+			case settled && !led:
+				t.Errorf("leader %v, after %d messages: no leader, though the change of voters had ended", ofLeader, messages)
+			case settled:
+				late++
+			case !led:
+				early++
+			}
+			f.held = nil
+			f.start(loss.second)
+			f.until("a leader once the other is back", 20*time.Second, func() bool { return f.leader() != nil })
+		}
+	}
+	if early == 0 || late == 0 {
+		t.Errorf("%d losses that leave no majority, and %d after the change: the test shows nothing", early, late)
+	}
+}
+
+// secondLoss is a voter that ends while another, whose disk was lost, is taken in anew.
+type secondLoss struct {
+	*fleet
+	leader, lost, second, rest string
+	was                        uint64 // the number whose disk is lost
+}
+
+func newSecondLoss(f *fleet, seats Seats, ofLeader bool) *secondLoss {
+	l := &secondLoss{fleet: f, leader: f.leader().set.Name}
+	others := slices.DeleteFunc(seats.nodes(), func(n string) bool { return n == l.leader })
+	l.lost, l.second, l.rest = others[0], others[1], l.leader
+	if ofLeader {
+		l.second, l.rest = l.leader, others[1]
+	}
+	old, _ := seats.of(l.lost)
+	l.was = old.ID
+	return l
+}
+
+// play loses the disk and then the other voter, so many messages after the first is taken in. It tells whether both voters that
+// are left say that the change has ended.
+func (l *secondLoss) play(messages int) (settled bool) {
+	l.disks[l.lost], l.notes[l.lost] = &agree.Disk{}, nil
+	l.start(l.lost)
+	ended := false
+	l.held = func(from, to string, _ *Message) bool {
+		if !ended && l.takenIn() {
+			messages--
+			ended = messages < 0
+		}
+		return ended && (from == l.second || to == l.second)
+	}
+	l.until("the second loss", 20*time.Second, func() bool { return ended })
+	delete(l.up, l.second)
+	return l.settled(l.lost) && l.settled(l.rest)
+}
+
+// takenIn tells whether the leader has given the seat to the new number, and that has begun to take in the log.
+func (l *secondLoss) takenIn() bool {
+	seats := l.up[l.leader].Standing().Seats
+	seat, _ := seats.of(l.lost)
+	newcomer := l.up[l.lost].Standing()
+	return seat.ID != l.was && newcomer.ID == seat.ID && newcomer.Applied > 1
+}
+
+func (l *secondLoss) settled(name string) bool {
+	s := l.up[name].Standing()
+	_, old := s.Seats.by(l.was)
+	return s.Settled && !old
+}
--- a/internal/fleet/council/standing.go
+++ b/internal/fleet/council/standing.go
@@ -13,11 +13,14 @@
 	Term     uint64
 	Leads    bool
 	Applied  uint64
-	Hung     bool     // its disk has not ended a write for long
-	Broken   string   // why its voter can't go on
-	Conflict bool     // another log of this fleet was met: two were founded
-	Gone     []Absent // leader: nodes with seats that are out of the members' view
-	Leases   int
+	Hung     bool   // its disk has not ended a write for long
+	Broken   string // why its voter can't go on
+	Conflict bool   // another log of this fleet was met: two were founded
+	// Settled: the voters that this node knows of are those that have the seats. While a seat changes hands the one that is out
+	// still counts: the loss of one more voter may leave no majority.
+	Settled bool
+	Gone    []Absent // leader: nodes with seats that are out of the members' view
+	Leases  int
 }
 
 // Absent is a node with a seat that is out of the view.
@@ -58,7 +61,7 @@
 	if !c.applies() {
 		return s
 	}
-	s.Seats, s.Leases = c.seats.clone(), c.machine.Len()
+	s.Seats, s.Leases, s.Settled = c.seats.clone(), c.machine.Len(), c.agreed()
 	s.Leader = c.nameOf(c.voter.Leader())
 	for _, r := range c.seats.Rows {
 		if d := c.since(r.Name); d > 0 {
--- a/internal/rig/lab/leases_test.go
+++ b/internal/rig/lab/leases_test.go
@@ -98,6 +98,15 @@
 	return *r.Standing, true
 }
 
+// settledAs tells whether a voter knows that the one whose disk was lost votes under a number, and its old one no more.
+func (x *leasing) settledAs(node string, lost string, number uint64) bool {
+	s, ok := x.standing(node)
+	if !ok || !s.Settled {
+		return false
+	}
+	return slices.ContainsFunc(s.Seats.Rows, func(r council.Seat) bool { return r.Name == lost && r.ID == number })
+}
+
 // leader is who leads in the highest term; "" if nobody says that it does.
 func (x *leasing) leader() (name string) {
 	term := uint64(0)
@@ -337,6 +346,12 @@
 		return now[lost] != 0 && now[lost] != before[lost] && ok && s.ID == now[lost] && s.Applied > 1
 	})
 	t.Logf("a lost disk: taken in after %v", took)
+	// Until the change has ended its old number counts among the voters, and another loss leaves no majority.
+	took = x.waitFor("the end of the change of voters", 5*time.Second, func() bool {
+		number := numbers()[lost]
+		return x.settledAs(lost, lost, number) && x.settledAs(x.seats[2], lost, number)
+	})
+	t.Logf("its change of voters ended after another %v", took)
 	gone := x.seats[1]
 	x.do(x.Kill(gone))
 	took = x.waitFor("its seat is another's", 40*time.Second, func() bool {
