Red: a zone of 800 servers drains at once

With thousands of servers what a node learns by being turned away is of one server in hundreds. Nodes that discovery turns away for some seconds try one after the other, and each try is a request to a server whose drain counts as told; where the servers are replaced meanwhile they serve, and are taken for those that were known.

Change: TestZoneDrainsInALargeFleet, 24 real nodes and 1,600 boxes, discovery writes 3,840 lines a second (servers times nodes by ten), with the servers replaced after 4 s and after 7 s.

--- /dev/null
+++ b/internal/rig/lab/release_test.go
@@ -0,0 +1,70 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"curlewring/internal/rig/registry"
+	"curlewring/internal/rig/standin"
+)
+
+// zoneRelease is a fleet in which all boxes of a zone drain within moments and are replaced. Each turns new work away while
+// it drains, and discovery takes seconds to tell all nodes of so many.
+type zoneRelease struct {
+	boxes    int
+	lines    float64       // that discovery can write in a second
+	replaced time.Duration // after which a new process takes a box's place
+}
+
+const (
+	releaseNodes = 24
+	releaseAt    = 2 * time.Second
+	releaseSteps = 8
+	releaseEvery = 150 * time.Millisecond
+)
+
+// play drains the zone and checks from outside that the rules hold.
+func (z zoneRelease) play(t *testing.T) {
+	t.Helper()
+	o := options()
+	o.Nodes, o.Plan.Boxes = releaseNodes, z.boxes
+	o.Plan.Registry = registry.Settings{} // until all are ready
+	o.Plan.PublishEvery = 400 * time.Millisecond
+	o.Traffic.Rate, o.Traffic.For = nodeRate*releaseNodes, releaseAt+releaseSteps*releaseEvery+z.replaced+6*time.Second
+	sites := len(o.Plan.Sites)
+	zone := z.boxes / sites
+	for i := range zone {
+		step := i * releaseSteps / zone
+		o.Faults = append(o.Faults, standin.Fault{
+			Kind: "drain", Box: fmt.Sprint(i * sites), At: releaseAt + time.Duration(step)*releaseEvery, For: z.replaced,
+		})
+	}
+	l, err := Open(context.Background(), o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	capacity := registry.Settings{LinesPerSecond: z.lines, CallLines: callLines, QueueTimeout: 2 * time.Second, Overbook: 1}
+	if err := l.Fleet.Discovery.Limit(capacity); err != nil {
+		t.Fatal(err)
+	}
+	r, err := l.Run(context.Background(), func(now Progress) { t.Log(sampleCalls(l.Fleet.Discovery, now.At)) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%d boxes, %d nodes: %.3f served, %d breaches", z.boxes, releaseNodes, service(r), len(r.Breaches))
+	check(t, r)
+	if part := service(r); part < leastServed {
+		t.Errorf("%.3f served, want %.2f", part, leastServed)
+	}
+}
+
+// A zone of hundreds of boxes drains within 1.2 s. Nodes that are turned away by discovery meanwhile must not try one box of the
+// zone after the other to find that out, nor take the new processes for those that they know.
+func TestZoneDrainsInALargeFleet(t *testing.T) {
+	for name, replaced := range map[string]time.Duration{"replaced soon": 4 * time.Second, "replaced late": 7 * time.Second} {
+		t.Run(name, func(t *testing.T) { zoneRelease{boxes: 1600, lines: 3840, replaced: replaced}.play(t) })
+	}
+}
