Ask other zones first where a zone refuses as a whole and the list is unconfirmed

Cause: without a proven server a node went on with the one that was proven last, of its own zone first, and a denial was void with the next answer of discovery, though that may have been made before the drain was listed. Of a zone of 800 draining servers each was tried in turn. The class is the incident's: the absence of news of one server, taken for proof though its zone refuses.

Change: a zone counts three refusals in a row (turned away or no connection); until discovery has been heard as of 5 s later, as it lists what drains or is lost within that time, servers of other zones go first where none is proven. A denial holds as long. While the list is confirmed nothing changes.

TestZoneThatRefusesIsAskedLast fails without the count.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -246,6 +246,7 @@
 		s.zone.inflight = max(0, s.zone.inflight-1)
 		b.judge(s, o.Result)
 		s.prove(now, &o)
+		s.zone.book(now, o.Result)
 		if s.Health == Removed && s.inflight == 0 {
 			delete(b.servers, o.Server)
 		}
--- a/decide/proof.go
+++ b/decide/proof.go
@@ -18,6 +18,10 @@
 	// Discovery takes a call of each node in 2 s at the fastest, at 60 lines a call: a loss of so many
 	// servers takes it 5 s and more to tell them all, and a node that starts then may not be heard.
 	slowToTell = 150
+	// A zone that refuses so many sends in a row is taken to drain or to be lost as a whole.
+	zoneRefuses = 3
+	// Discovery lists a server that drains or is lost up to so long after that.
+	listedWithin = 5 * time.Second
 	// A process does not end and take work again sooner, nor is it listed as gone for so short an end.
 	shortestOutage = time.Second
 )
@@ -59,6 +63,18 @@
 	s.alive.extend(opened, sent)
 }
 
+// book counts what an attempt says of the zone as a whole.
+func (z *zone) book(now time.Duration, r Result) {
+	switch r {
+	case Served:
+		z.refusals = 0
+	case Full, Unconnected:
+		if z.refusals++; z.refusals >= zoneRefuses {
+			z.doubted = now
+		}
+	}
+}
+
 // confirm books until when the list is confirmed.
 func (b *Balancer) confirm(m *Members) {
 	if m.Change == ListDiff || m.Change == ListFull {
@@ -103,31 +119,46 @@
 	return b.heard == 0 && s.near && len(b.others) > 0 && len(b.homes) >= slowToTell
 }
 
+// unlisted tells whether discovery may not have listed yet what happened at a time, when it was last heard.
+func (b *Balancer) unlisted(at time.Duration) bool { return at > 0 && at+listedWithin > b.heard }
+
 // denied tells whether the server turned work away since it or discovery proved it good.
-func (b *Balancer) denied(s *server) bool { return s.deniedAt > max(s.provenAt, b.heard) }
+func (b *Balancer) denied(s *server) bool { return s.deniedAt > s.provenAt && b.unlisted(s.deniedAt) }
 
 // leastDoubtful is the server to send to where the list is not confirmed and none is proven: the one that was
 // proven last, of the subset if possible, and none that has turned work away since. One whose process has
-// lived on goes before all others. A node that has not heard discovery since its start takes none of which it
-// must fear that it was lost together with the node.
-func (b *Balancer) leastDoubtful(c *call) (best *server) {
+// lived on goes before all others. Where a zone drains or is lost as a whole, each of its servers would have to
+// be tried before that is known of it, so those of other zones go first. A node that has not heard discovery
+// since its start takes none of which it must fear that it was lost together with the node.
+func (b *Balancer) leastDoubtful(c *call) *server {
 	if !b.doubting() {
 		return nil
 	}
-	for _, lived := range [...]bool{true, false} {
-		for _, list := range [...][]*server{b.near, b.far, b.homes, b.others} {
-			for _, s := range list {
-				if b.denied(s) || s.out(b.now) || b.lostTogether(s) || lived && !b.livedOn(s) {
-					continue
-				}
-				if (best == nil || s.proof() > best.proof()) && b.allowed(c, s) {
-					best = s
+	for _, doubted := range [...]bool{false, true} {
+		for _, lived := range [...]bool{true, false} {
+			for _, list := range [...][]*server{b.near, b.far, b.homes, b.others} {
+				if best := b.lastProven(c, list, doubted, lived); best != nil {
+					return best
 				}
 			}
-			if best != nil {
-				return best
-			}
 		}
 	}
 	return nil
 }
+
+// lastProven is the server of a list that was proven last, of those whose zone is doubted as a whole or not, and
+// whose process is known to have lived on or not.
+func (b *Balancer) lastProven(c *call, list []*server, doubted, lived bool) (best *server) {
+	for _, s := range list {
+		if b.unlisted(s.zone.doubted) != doubted || b.livedOn(s) != lived {
+			continue
+		}
+		if b.denied(s) || s.out(b.now) || b.lostTogether(s) {
+			continue
+		}
+		if (best == nil || s.proof() > best.proof()) && b.allowed(c, s) {
+			best = s
+		}
+	}
+	return best
+}
--- a/decide/rows.go
+++ b/decide/rows.go
@@ -23,7 +23,9 @@
 // zone is what a node knows of a zone.
 type zone struct {
 	health
-	members int // of the subset
+	members  int           // of the subset
+	refusals int           // sends in a row that its servers turned away, or that found no connection
+	doubted  time.Duration // when these were the last time as many as zoneRefuses
 }
 
 // server is one server as this node sees it.
--- a/decide/unconfirmed_test.go
+++ b/decide/unconfirmed_test.go
@@ -204,3 +204,62 @@
 		}
 	}
 }
+
+// A zone drains or is lost as a whole, and this node has asked few of its servers. As long as discovery can't have listed that, a
+// server of another zone goes first where none is proven, though the zone's own were proven later: each of them would have to be
+// asked to be known. Some refusals among answers are no sign of that.
+func TestZoneThatRefusesIsAskedLast(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		results []Result // of the near zone's servers, in turn
+		heard   time.Duration
+		asked   string
+	}{
+		{"all turned away", []Result{Full, Full, Full}, 3 * time.Second, "far"},
+		{"all unreachable", []Result{Unconnected, Unconnected, Unconnected}, 3 * time.Second, "far"},
+		{"one serves", []Result{Full, Full, Served, Full}, 3 * time.Second, "near"},
+		{"few refusals", []Result{Full, Full}, 3 * time.Second, "near"},
+		{"discovery has listed it", []Result{Full, Full, Full}, 9 * time.Second, "near"},
+	} {
+		b := nodeOfTwoZones(20)
+		for i := range 20 {
+			b.servers[fmt.Sprint("far-", i)].prove(2*time.Second, &Outcome{Result: Served, Age: time.Second})
+			b.servers[fmt.Sprint("near-", i)].prove(2500*ms, &Outcome{Result: Served, Age: time.Second})
+		}
+		for i, r := range c.results {
+			b.servers[fmt.Sprint("near-", i)].prove(3500*ms, &Outcome{Result: r})
+			b.zones["near"].book(3500*ms, r)
+		}
+		b.Members(10*time.Second, Members{Change: ListKept, AsOf: c.heard}, nil)
+		b.Members(10*time.Second, Members{Change: ListFailed, Confirmed: 10 * time.Second}, nil)
+		if got := ask(b, 12*time.Second, serveAll); !strings.HasPrefix(got, c.asked) {
+			t.Errorf("%s: %q is asked, want one that is %s", c.name, got, c.asked)
+		}
+	}
+}
+
+// A server that turned work away is not asked again because of a list that discovery made before it could name that.
+func TestDenialOutlivesAnOlderList(t *testing.T) {
+	for heard, denied := range map[time.Duration]bool{0: true, 4 * time.Second: true, 3*time.Second + listedWithin: false} {
+		b := askingNode("a")
+		b.servers["a"].prove(3*time.Second, &Outcome{Result: Full})
+		b.heard = heard
+		if got := b.denied(b.servers["a"]); got != denied {
+			t.Errorf("denied at 3 s, the list is as of %v: denied still %v, want %v", heard, got, denied)
+		}
+	}
+}
+
+// nodeOfTwoZones returns a node before so many servers in its own zone and as many in another, as discovery has just told it.
+func nodeOfTwoZones(servers int) *Balancer {
+	b := New(Settings{
+		Nodes: 10, MaxTries: 3, AnswerGrace: 10 * ms, MustAsk: true, AskWithin: 10 * time.Second, Zone: "near",
+		Classes: []Class{{Aim: time.Second, Deadline: 2 * time.Second, Worth: 1}},
+	}, 1, time.Second)
+	var list []Server
+	for i := range servers {
+		list = append(list, Server{ID: fmt.Sprint("near-", i), Zone: "near"}, Server{ID: fmt.Sprint("far-", i), Zone: "far"})
+	}
+	b.Members(time.Second, Members{Change: ListFull, Servers: list}, nil)
+	return b
+}
