--- a/internal/rig/lab/overload_test.go
+++ b/internal/rig/lab/overload_test.go
@@ -61,27 +61,17 @@
 	return s
 }
 
-// play runs the fleet through faults, and checks from outside that it comes back.
-func (o *overload) play(t *testing.T, faults ...string) {
+// runLimited runs a lab whose discovery can bear so much from the time on at which all nodes are ready. It logs what becomes
+// of the calls to discovery, and checks from outside that the rules hold.
+func runLimited(t *testing.T, o Options, capacity registry.Settings) (*Lab, *Report, []callSample) {
 	t.Helper()
-	options := options()
-	options.Nodes, options.Plan.Boxes = o.nodes, 14
-	options.Plan.Registry.QueueTimeout, options.Plan.OutageAnswers = o.capacity().QueueTimeout, true
-	options.Traffic.Rate, options.Traffic.For = 120, o.settled+o.recovery+o.quiet
-	for _, text := range faults {
-		f, err := standin.ParseFault(text)
-		if err != nil {
-			t.Fatal(err)
-		}
-		options.Faults = append(options.Faults, f)
-	}
-	l, err := Open(context.Background(), options)
+	l, err := Open(context.Background(), o)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
+	t.Cleanup(l.Close)
 	d := l.Fleet.Discovery
-	if err := d.Limit(o.capacity()); err != nil {
+	if err := d.Limit(capacity); err != nil {
 		t.Fatal(err)
 	}
 	var samples []callSample
@@ -92,13 +82,32 @@
 	for _, s := range samples {
 		t.Log(s)
 	}
+	t.Logf("%d boxes, %d nodes: %.3f served, %d breaches", o.Plan.Boxes, o.Nodes, service(r), len(r.Breaches))
 	check(t, r)
+	return l, r, samples
+}
+
+// play runs the fleet through faults, and checks from outside that it comes back.
+func (o *overload) play(t *testing.T, faults ...string) {
+	t.Helper()
+	options := options()
+	options.Nodes, options.Plan.Boxes = o.nodes, 14
+	options.Plan.Registry.QueueTimeout, options.Plan.OutageAnswers = o.capacity().QueueTimeout, true
+	options.Traffic.Rate, options.Traffic.For = 120, o.settled+o.recovery+o.quiet
+	for _, text := range faults {
+		f, err := standin.ParseFault(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		options.Faults = append(options.Faults, f)
+	}
+	l, r, samples := runLimited(t, options, o.capacity())
 	for _, n := range r.Nodes {
 		if !strings.Contains(l.Log(n.Name), o.logged) {
 			t.Errorf("%s has not logged %q", n.Name, o.logged)
 		}
 	}
-	o.checkCalls(t, samples, d.Version())
+	o.checkCalls(t, samples, l.Fleet.Discovery.Version())
 	if part := service(r); part < 0.9 {
 		t.Errorf("%.3f served", part)
 	}
--- a/internal/rig/lab/release_test.go
+++ b/internal/rig/lab/release_test.go
@@ -1,7 +1,6 @@
 package lab
 
 import (
-	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -41,21 +40,8 @@
 			Kind: "drain", Box: fmt.Sprint(i * sites), At: releaseAt + time.Duration(step)*releaseEvery, For: z.replaced,
 		})
 	}
-	l, err := Open(context.Background(), o)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
 	capacity := registry.Settings{LinesPerSecond: z.lines, CallLines: callLines, QueueTimeout: 2 * time.Second, Overbook: 1}
-	if err := l.Fleet.Discovery.Limit(capacity); err != nil {
-		t.Fatal(err)
-	}
-	r, err := l.Run(context.Background(), func(now Progress) { t.Log(sampleCalls(l.Fleet.Discovery, now.At)) })
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Logf("%d boxes, %d nodes: %.3f served, %d breaches", z.boxes, releaseNodes, service(r), len(r.Breaches))
-	check(t, r)
+	_, r, _ := runLimited(t, o, capacity)
 	if part := service(r); part < leastServed {
 		t.Errorf("%.3f served, want %.2f", part, leastServed)
 	}
--- a/internal/rig/lab/zone_test.go
+++ b/internal/rig/lab/zone_test.go
@@ -1,7 +1,6 @@
 package lab
 
 import (
-	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -41,28 +40,8 @@
 	for i := 0; i < z.nodes; i += len(o.Plan.Sites) { // the nodes of that site
 		o.Faults = append(o.Faults, standin.Fault{Kind: "kill", Node: fmt.Sprint(i), At: zoneLostAt, For: zoneLostFor})
 	}
-	l, err := Open(context.Background(), o)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
 	capacity := registry.Settings{LinesPerSecond: z.lines, CallLines: callLines, QueueTimeout: 2 * time.Second, Overbook: 2}
-	if err := l.Fleet.Discovery.Limit(capacity); err != nil {
-		t.Fatal(err)
-	}
-	var samples []callSample
-	r, err := l.Run(context.Background(), func(now Progress) { samples = append(samples, sampleCalls(l.Fleet.Discovery, now.At)) })
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, s := range samples {
-		t.Log(s)
-	}
-	t.Logf("%d boxes, %d nodes: %.3f served, %d breaches", z.boxes, z.nodes, service(r), len(r.Breaches))
-	for _, b := range r.Breaches {
-		t.Log(b.At, b.What)
-	}
-	check(t, r)
+	_, r, _ := runLimited(t, o, capacity)
 	if part := service(r); part < leastServed {
 		t.Errorf("%.3f served, want %.2f", part, leastServed)
 	}
