--- a/decide/proof.go
+++ b/decide/proof.go
@@ -127,9 +127,9 @@
 
 // leastDoubtful is the server to send to where the list is not confirmed and none is proven: the one that was
 // proven last, of the subset if possible, and none that has turned work away since. One whose process has
-// lived on goes before all others. Where a zone drains or is lost as a whole, each of its servers would have to
-// be tried before that is known of it, so those of other zones go first. A node that has not heard discovery
-// since its start takes none of which it must fear that it was lost together with the node.
+// lived on goes before all others. Where a zone drains or is lost as a whole, each of its servers would have
+// to be tried before that is known of it, so those of other zones go first. A node that has not heard
+// discovery since its start takes none of which it must fear that it was lost together with the node.
 func (b *Balancer) leastDoubtful(c *call) *server {
 	if !b.doubting() {
 		return nil
@@ -146,8 +146,8 @@
 	return nil
 }
 
-// lastProven is the server of a list that was proven last, of those whose zone is doubted as a whole or not, and
-// whose process is known to have lived on or not.
+// lastProven is the server of a list that was proven last, of those whose zone is doubted as a whole or not,
+// and whose process is known to have lived on or not.
 func (b *Balancer) lastProven(c *call, list []*server, doubted, lived bool) (best *server) {
 	for _, s := range list {
 		if b.unlisted(s.zone.doubted) != doubted || b.livedOn(s) != lived {
