Check that a bind offers TCP the port that UDP has

Cause: since the test's own TCP socket takes any port, so nothing held bind to offering it the port of the UDP socket. Before, the real socket did.

Change: the test compares the offered port with UDP's.

--- a/internal/node/members/bind_test.go
+++ b/internal/node/members/bind_test.go
@@ -22,17 +22,21 @@
 		"always taken":    {anyPort, 1000, bindTries, false},
 		"taken and named": {named, 1, 1, false},
 	} {
-		tried := 0
+		tried, offered := 0, uint16(0)
 		udp, tcp, err := bind(netip.MustParseAddrPort(c.at), func(at netip.AddrPort) (*net.TCPListener, error) {
 			if tried++; tried <= c.taken {
 				return nil, syscall.EADDRINUSE
 			}
+			offered = at.Port()
 			return listenTCP(netip.MustParseAddrPort(anyPort)) // the port itself may be taken, by whoever else runs here
 		})
 		if (err == nil) != c.bound || tried != c.want || err != nil && !errors.Is(err, syscall.EADDRINUSE) {
 			t.Errorf("%s: %v after %d tries, want bound %v after %d", name, err, tried, c.bound, c.want)
 		}
 		if err == nil {
+			if port := udp.LocalAddr().(*net.UDPAddr).AddrPort().Port(); port != offered {
+				t.Errorf("%s: UDP has port %d, TCP was to have %d", name, port, offered)
+			}
 			udp.Close()
 			tcp.Close()
 		}
