--- a/internal/rig/lab/release_test.go
+++ b/internal/rig/lab/release_test.go
@@ -12,6 +12,7 @@
 // zoneRelease is a fleet in which all boxes of a zone drain within moments and are replaced. Each turns new work away while
 // it drains, and discovery takes seconds to tell all nodes of so many.
 type zoneRelease struct {
+	fault    string // that announces a box as leaving: "drain", or "leave" if it goes on answering
 	boxes    int
 	lines    float64       // that discovery can write in a second
 	replaced time.Duration // after which a new process takes a box's place
@@ -37,7 +38,7 @@
 	for i := range zone {
 		step := i * releaseSteps / zone
 		o.Faults = append(o.Faults, standin.Fault{
-			Kind: "drain", Box: fmt.Sprint(i * sites), At: releaseAt + time.Duration(step)*releaseEvery, For: z.replaced,
+			Kind: z.fault, Box: fmt.Sprint(i * sites), At: releaseAt + time.Duration(step)*releaseEvery, For: z.replaced,
 		})
 	}
 	capacity := registry.Settings{LinesPerSecond: z.lines, CallLines: callLines, QueueTimeout: 2 * time.Second, Overbook: 1}
@@ -51,6 +52,14 @@
 // zone after the other to find that out, nor take the new processes for those that they know.
 func TestZoneDrainsInALargeFleet(t *testing.T) {
 	for name, replaced := range map[string]time.Duration{"replaced soon": 4 * time.Second, "replaced late": 7 * time.Second} {
-		t.Run(name, func(t *testing.T) { zoneRelease{boxes: 1600, lines: 3840, replaced: replaced}.play(t) })
+		t.Run(name, func(t *testing.T) { zoneRelease{fault: "drain", boxes: 1600, lines: 3840, replaced: replaced}.play(t) })
+	}
+}
+
+// The same boxes go on answering while they drain: only the list tells. Every node then has to be told of hundreds of boxes
+// within the time after which that counts as told.
+func TestZoneLeavesALargeFleet(t *testing.T) {
+	for name, replaced := range map[string]time.Duration{"replaced soon": 4 * time.Second, "replaced late": 7 * time.Second} {
+		t.Run(name, func(t *testing.T) { zoneRelease{fault: "leave", boxes: 1600, lines: 3840, replaced: replaced}.play(t) })
 	}
 }
--- a/internal/rig/lab/zone_test.go
+++ b/internal/rig/lab/zone_test.go
@@ -65,3 +65,9 @@
 func TestZoneReturnsBeforeItsNodesAsk(t *testing.T) {
 	zoneLoss{boxes: 48, nodes: 42, lines: 2400, noticed: 1500 * time.Millisecond, publishEvery: 100 * time.Millisecond}.play(t)
 }
+
+// A zone of hundreds of boxes is lost while discovery writes a hundredth of the lines in a second that a change of each box to
+// each node needs. Most nodes hear of the loss when it has counted as told for seconds.
+func TestZoneReturnsBeforeASlowDiscovery(t *testing.T) {
+	zoneLoss{boxes: 1600, nodes: 24, lines: 480, noticed: 4 * time.Second, publishEvery: 400 * time.Millisecond}.play(t)
+}
