Answers of discovery's old address end no periodic pause of an overloaded watch

What callers saw: requests to drained servers, up to 2.5 s after the drain counted as told, by nodes that had just been answered (TestDiscoveryMovesWhileItsQueueIsFull).

Cause, from debug lines of its nodes: after a move their long polls at the old address stayed open, while the calls at the new one were turned away. The first drain answered all 24 of them at 8.37 to 8.43 s, and each began its next call at once, though its pace had just put it off: the calls filled the queue, and most nodes were turned away or timed out, and asked again 6 to 8 s later.

Change: an answer to the call before no longer ends the pause of a node that asks once in a period. What changes in the 200 ms after it is heard at the node's turn; calls of all nodes at once would be heard by few.

TestAnswersOfTheOldAddressDoNotEndPeriodicPauses fails without it (call after 0.9 ms).

--- a/internal/node/discovery/overload_test.go
+++ b/internal/node/discovery/overload_test.go
@@ -287,3 +287,29 @@
 	case <-time.After(time.Second):
 	}
 }
+
+// Discovery's old address may answer all nodes together once it has moved. In an overload the next call must wait for its turn all the
+// same: calls at once would time out in the new address's queue, and the nodes hear of nothing for seconds.
+func TestAnswersOfTheOldAddressDoNotEndPeriodicPauses(t *testing.T) {
+	const spread = 400 * time.Millisecond
+	old, next := newHeldServer(t), newHeldServer(t)
+	updates := make(chan Update, 10)
+	d := New(old.address, endpoints.Place{Node: 1, Nodes: 3}, Quiet(), func(u Update) { updates <- u })
+	d.spread = func() time.Duration { return spread }
+	d.pace.Overloaded(wallClock(), endpoints.Overload{Took: time.Second, Heard: true, Servers: 3})
+	stop := running(t, d, 3)
+	defer stop()
+	d.SetWatch(true)
+	first := old.call(t)
+	moved := time.Now()
+	d.Move(next.address)
+	first.write(t, ListOf(4, true, "127.0.0.1:1 SERVING"))
+	first.write(t, "")
+	if u := <-updates; u.List == nil || !u.Unwatched {
+		t.Errorf("reported %+v", u)
+	}
+	next.call(t)
+	if took := time.Since(moved); took < spread {
+		t.Errorf("the first call at the new address came after %v", took)
+	}
+}
--- a/internal/node/discovery/watch.go
+++ b/internal/node/discovery/watch.go
@@ -217,8 +217,11 @@
 			}
 			return
 		}
-		// The module hears that the watch goes on, whatever came of the newer one; and what changes now counts as told.
-		w.on = w.wanted
+		// The module hears that the watch goes on, whatever came of the newer one; and what changes now counts as told. In an overload
+		// all nodes may have been answered together, and calls at once would keep each other waiting for too long.
+		if !w.pace.Periodic() {
+			w.on = w.wanted
+		}
 	case w.newest:
 		w.newest = nil
 		w.kept.Stop()
--- a/internal/servers/endpoints/pace.go
+++ b/internal/servers/endpoints/pace.go
@@ -149,6 +149,9 @@
 	}
 }
 
+// Periodic tells whether the node makes its calls once in a period.
+func (p *Pace) Periodic() bool { return p.mode == periodic }
+
 // AsksForWhole tells whether the next call of a node that has a list is for the whole list, and no long poll.
 func (p *Pace) AsksForWhole() bool { return p.mode == periodic && !p.slow }
 
