Leave a zone alone while unconfirmed once hundreds of its servers were listed as leaving

It went by proof then, and a server that answers while it drains has proof.

Change: a zone of which 150 servers or more were listed as draining or gone, each within 5 s of the one before, is left alone while the list is unconfirmed, until discovery is heard as of 5 s after the last of them, unless the zone is the only one that is not so. 150 and 5 s are the spans of a lost zone and of the delay of lists. Processes that have started since are asked.

TestZoneThatLeavesIsNotAsked fails without the rule.

--- a/decide/members.go
+++ b/decide/members.go
@@ -77,6 +77,9 @@
 		s.idle, s.alive = nil, lifetime{}
 		s.late, s.tokens, s.filled, s.pooled = 0, b.rng.Float64(), b.now, pooled{}
 	}
+	if s.listed && e.Health != Healthy {
+		s.zone.leave(b.now)
+	}
 	if !whole {
 		b.enlist(s, false) // by what it was
 	}
--- a/decide/proof.go
+++ b/decide/proof.go
@@ -75,6 +75,15 @@
 	}
 }
 
+// leave books that a server of the zone is listed as draining or gone.
+func (z *zone) leave(now time.Duration) {
+	if now > z.leftAt+listedWithin {
+		z.left = 0
+	}
+	z.left++
+	z.leftAt = now
+}
+
 // confirm books until when the list is confirmed.
 func (b *Balancer) confirm(m *Members) {
 	if m.Change == ListDiff || m.Change == ListFull {
@@ -98,9 +107,29 @@
 
 // unproven tells whether the server may count as draining or gone though this node has not heard of it.
 func (b *Balancer) unproven(s *server) bool {
-	return b.doubting() && (b.now-s.proof() > proofLasts || !b.livedOn(s))
+	return b.doubting() && (b.now-s.proof() > proofLasts || !b.livedOn(s) || b.leavesToo(s))
 }
 
+// leavesToo tells whether a server may drain or be gone together with others of its zone. Where these were
+// listed by the hundred, discovery may be too busy to tell of the rest, and that one takes work proves
+// nothing: a server may go on answering while it drains. A process that has started since is none of them.
+// Another zone of the subset has to be left.
+func (b *Balancer) leavesToo(s *server) bool {
+	if s.Started > s.zone.leftAt || !b.leaving(s.zone) {
+		return false
+	}
+	for _, z := range b.zones {
+		if z.members > 0 && !b.leaving(z) {
+			return true
+		}
+	}
+	return false
+}
+
+// leaving tells whether servers of a zone were listed as draining or gone by the hundred, and discovery may
+// not have told of all of them.
+func (b *Balancer) leaving(z *zone) bool { return z.left >= slowToTell && b.unlisted(z.leftAt) }
+
 // livedOn tells whether no process of the server before this one can count as gone.
 func (b *Balancer) livedOn(s *server) bool {
 	if b.heard == 0 { // it knows nothing of what was before its start
@@ -150,7 +179,7 @@
 // and whose process is known to have lived on or not.
 func (b *Balancer) lastProven(c *call, list []*server, doubted, lived bool) (best *server) {
 	for _, s := range list {
-		if b.unlisted(s.zone.doubted) != doubted || b.livedOn(s) != lived {
+		if (b.unlisted(s.zone.doubted) || b.leavesToo(s)) != doubted || b.livedOn(s) != lived {
 			continue
 		}
 		if b.denied(s) || s.out(b.now) || b.lostTogether(s) {
--- a/decide/rows.go
+++ b/decide/rows.go
@@ -26,6 +26,8 @@
 	members  int           // of the subset
 	refusals int           // sends in a row that its servers turned away, or that found no connection
 	doubted  time.Duration // when these were the last time as many as zoneRefuses
+	left     int           // its servers that were listed as draining or gone, one soon after the other ...
+	leftAt   time.Duration // ... and the last of them
 }
 
 // server is one server as this node sees it.
--- a/decide/unconfirmed_test.go
+++ b/decide/unconfirmed_test.go
@@ -251,15 +251,62 @@
 }
 
 // nodeOfTwoZones returns a node before so many servers in its own zone and as many in another, as discovery has just told it.
-func nodeOfTwoZones(servers int) *Balancer {
+func nodeOfTwoZones(servers int) *Balancer { return nodeOfZones(servers, servers) }
+
+// nodeOfZones returns a node before so many servers in its own zone and so many in another, as discovery has just told it.
+func nodeOfZones(near, far int) *Balancer {
 	b := New(Settings{
 		Nodes: 10, MaxTries: 3, AnswerGrace: 10 * ms, MustAsk: true, AskWithin: 10 * time.Second, Zone: "near",
 		Classes: []Class{{Aim: time.Second, Deadline: 2 * time.Second, Worth: 1}},
 	}, 1, time.Second)
 	var list []Server
-	for i := range servers {
-		list = append(list, Server{ID: fmt.Sprint("near-", i), Zone: "near"}, Server{ID: fmt.Sprint("far-", i), Zone: "far"})
+	for i := range near {
+		list = append(list, Server{ID: fmt.Sprint("near-", i), Zone: "near"})
+	}
+	for i := range far {
+		list = append(list, Server{ID: fmt.Sprint("far-", i), Zone: "far"})
 	}
 	b.Members(time.Second, Members{Change: ListFull, Servers: list}, nil)
 	return b
 }
+
+// Hundreds of servers of a zone are listed as draining at once, and then discovery is too busy to tell of the rest. These take work as
+// well, and go on doing so while they drain: while the list is unconfirmed the zone is left alone, until discovery was heard as of a time
+// at which it had listed all. Processes that have started since, the only zone, and one of which fewer leave are asked.
+func TestZoneThatLeavesIsNotAsked(t *testing.T) {
+	const near, told = 2 * slowToTell, 3 * time.Second
+	for _, c := range []struct {
+		name    string
+		far     int
+		leave   int
+		started time.Duration // the rest of the zone's servers
+		heard   time.Duration
+		asked   bool // the zone
+	}{
+		{"many leave", near, slowToTell, 0, told, false},
+		{"few leave", near, slowToTell - 1, 0, told, true},
+		{"the only zone", 0, slowToTell, 0, told, true},
+		{"the rest has started since", near, slowToTell, 4 * time.Second, told, true},
+		{"all are listed", near, slowToTell, 0, told + listedWithin, true},
+	} {
+		b := nodeOfZones(near, c.far)
+		var changes []Server
+		for i := range near {
+			e := Server{ID: fmt.Sprint("near-", i), Zone: "near", Started: c.started}
+			if i < c.leave {
+				e.Health, e.Started = Draining, 0
+			}
+			changes = append(changes, e)
+		}
+		b.Members(told, Members{Change: ListDiff, Servers: changes}, nil)
+		b.Members(told, Members{Change: ListKept, AsOf: c.heard}, nil)
+		b.Members(told, Members{Change: ListFailed, Confirmed: 9 * time.Second}, nil)
+		for _, s := range b.servers {
+			s.prove(9*time.Second, &Outcome{Result: Served, Age: 9 * time.Second})
+		}
+		got := slices.ContainsFunc(asked(b, 9*time.Second, 10*time.Second, serveAll), func(s string) bool { return strings.HasPrefix(s, "near") })
+		if got != c.asked {
+			t.Errorf("%s: servers of the zone are asked: %v, want %v", c.name, got, c.asked)
+		}
+	}
+}
