Servers of a lost large zone wait for the list's word once their loss may count

What callers saw: requests to servers that were lost with their zone and are back, 1.1 to 3.1 s after their loss counted as told, before a discovery that writes 480 lines a second (TestZoneReturnsBeforeASlowDiscovery).

Cause, from debug lines: all breaches were sent while the node took its list for confirmed. Its open long poll was all it had of discovery, and the answer to that waited in discovery's queue for up to 12 s. A node that had met the loss, by sends of its own that found no connection, made nothing of that once the zone served again.

Change: sends to a zone that find no connection, three in a row over a second, say that it was lost. From 6 s after the first of them, servers there that have no connection from before are left alone, until discovery is heard as of 5 s after the last of them, or until they have served for 9.5 s; zones of 150 servers or more alone, and not the only one.

TestZoneThatIsBackUntoldIsNotAsked fails without the rule.

--- a/decide/members.go
+++ b/decide/members.go
@@ -37,6 +37,9 @@
 			s.seen, s.listed = false, false
 		}
 		b.homes, b.others, b.sums = b.homes[:0], b.others[:0], 0
+		for _, z := range b.zones {
+			z.listed = 0
+		}
 	}
 	for i := range m.Servers {
 		b.enter(&m.Servers[i], whole)
@@ -56,6 +59,7 @@
 			}
 			if s.listed = s.Health == Healthy; s.listed {
 				b.sums += s.weight
+				s.zone.listed++
 			}
 		}
 		slices.SortFunc(b.homes, byRing)
--- a/decide/proof.go
+++ b/decide/proof.go
@@ -22,6 +22,8 @@
 	zoneRefuses = 3
 	// Discovery lists a server that drains or is lost up to so long after that.
 	listedWithin = 5 * time.Second
+	// What discovery has listed counts as told after so long at the latest.
+	listedTold = 6 * time.Second
 	// A process does not end and take work again sooner, nor is it listed as gone for so short an end.
 	shortestOutage = time.Second
 )
@@ -67,11 +69,34 @@
 func (z *zone) book(now time.Duration, r Result) {
 	switch r {
 	case Served:
-		z.refusals = 0
-	case Full, Unconnected:
-		if z.refusals++; z.refusals >= zoneRefuses {
-			z.doubted = now
-		}
+		z.refusals, z.missed = 0, 0
+	case Full:
+		z.missed = 0
+		z.refuse(now)
+	case Errored, Spoilt: // it answers
+		z.missed = 0
+	case Unconnected:
+		z.refuse(now)
+		z.miss(now)
+	}
+}
+
+// refuse counts a send that the zone did not take.
+func (z *zone) refuse(now time.Duration) {
+	if z.refusals++; z.refusals >= zoneRefuses {
+		z.doubted = now
+	}
+}
+
+// miss counts a send that found no connection. Some in a row, over a while, say that the zone was lost.
+func (z *zone) miss(now time.Duration) {
+	if z.missed == 0 {
+		z.unmade.from = now
+	}
+	z.missed++
+	z.unmade.to = now
+	if z.missed >= zoneRefuses && z.unmade.to-z.unmade.from >= shortestOutage {
+		z.lost = z.unmade
 	}
 }
 
@@ -107,25 +132,39 @@
 
 // unproven tells whether the server may count as draining or gone though this node has not heard of it.
 func (b *Balancer) unproven(s *server) bool {
-	return b.doubting() && (b.now-s.proof() > proofLasts || !b.livedOn(s) || b.leavesToo(s))
+	return b.doubting() && (b.now-s.proof() > proofLasts || !b.livedOn(s) || b.leavesToo(s)) || b.backUntold(s)
 }
 
-// leavesToo tells whether a server may drain or be gone together with others of its zone. Where these were
-// listed by the hundred, discovery may be too busy to tell of the rest, and that one takes work proves
-// nothing: a server may go on answering while it drains. A process that has started since is none of them.
-// Another zone of the subset has to be left.
-func (b *Balancer) leavesToo(s *server) bool {
-	if s.Started > s.zone.leftAt || !b.leaving(s.zone) {
-		return false
-	}
+// backUntold tells whether a server may be back from a loss of its zone that counts as told by now though
+// this node has not heard of it. Where discovery has hundreds of servers to tell every node of, its answer
+// to an open long poll may wait for so long, and the list seems confirmed meanwhile.
+func (b *Balancer) backUntold(s *server) bool {
+	return b.untold(s.zone) && !b.livedOn(s) && b.anotherZone((*Balancer).untold)
+}
+
+// untold tells whether the loss of a zone counts as told though this node has not heard of it.
+func (b *Balancer) untold(z *zone) bool {
+	return z.lost.to > 0 && z.listed >= slowToTell && b.unlisted(z.lost.to) && b.now >= z.lost.from+listedTold
+}
+
+// anotherZone tells whether the subset has servers of a zone that is not in such a state.
+func (b *Balancer) anotherZone(state func(*Balancer, *zone) bool) bool {
 	for _, z := range b.zones {
-		if z.members > 0 && !b.leaving(z) {
+		if z.members > 0 && !state(b, z) {
 			return true
 		}
 	}
 	return false
 }
 
+// leavesToo tells whether a server may drain or be gone together with others of its zone. Where these were
+// listed by the hundred, discovery may be too busy to tell of the rest, and that one takes work proves
+// nothing: a server may go on answering while it drains. A process that has started since is none of them.
+// Another zone of the subset has to be left.
+func (b *Balancer) leavesToo(s *server) bool {
+	return s.Started <= s.zone.leftAt && b.leaving(s.zone) && b.anotherZone((*Balancer).leaving)
+}
+
 // leaving tells whether servers of a zone were listed as draining or gone by the hundred, and discovery may
 // not have told of all of them.
 func (b *Balancer) leaving(z *zone) bool { return z.left >= slowToTell && b.unlisted(z.leftAt) }
--- a/decide/rows.go
+++ b/decide/rows.go
@@ -24,10 +24,14 @@
 type zone struct {
 	health
 	members  int           // of the subset
+	listed   int           // servers that may be sent to
 	refusals int           // sends in a row that its servers turned away, or that found no connection
 	doubted  time.Duration // when these were the last time as many as zoneRefuses
 	left     int           // its servers that were listed as draining or gone, one soon after the other ...
 	leftAt   time.Duration // ... and the last of them
+	unmade   lifetime      // of the present row of sends that found no connection; 0: none
+	missed   int           // how many these are
+	lost     lifetime      // of the last such row that says that the zone was lost or cut off
 }
 
 // server is one server as this node sees it.
@@ -109,9 +113,11 @@
 	if in {
 		*list = slices.Insert(*list, at, s)
 		b.sums += s.weight
+		s.zone.listed++
 	} else {
 		*list = slices.Delete(*list, at, at+1)
 		b.sums -= s.weight
+		s.zone.listed--
 	}
 }
 
--- a/decide/unconfirmed_test.go
+++ b/decide/unconfirmed_test.go
@@ -310,3 +310,49 @@
 		}
 	}
 }
+
+// A zone of hundreds of servers is lost and comes back. Discovery has so much to tell that its answer to this node's open long poll
+// waits, and the list seems confirmed. From the time on at which the loss may count as told, servers there that have no connection from
+// before it are not asked, until discovery is heard as of a time at which it had listed the loss, or they have served for longer than
+// it can count. Neither a small zone nor the only one is left alone, nor one where few sends failed or all within a moment.
+func TestZoneThatIsBackUntoldIsNotAsked(t *testing.T) {
+	const lost, back = 2 * time.Second, 7 * time.Second
+	for _, c := range []struct {
+		name     string
+		near     int
+		far      int
+		failures []time.Duration // after the loss
+		kept     bool            // connections
+		heard    time.Duration
+		now      time.Duration
+		asked    bool // the zone
+	}{
+		{"lost", slowToTell, slowToTell, []time.Duration{0, time.Second, 3 * time.Second}, false, time.Second, lost + listedTold, false},
+		{"not told yet", slowToTell, slowToTell, []time.Duration{0, time.Second, 3 * time.Second}, false, time.Second, lost + listedTold - time.Second, true},
+		{"a small zone", slowToTell - 1, slowToTell, []time.Duration{0, time.Second, 3 * time.Second}, false, time.Second, lost + listedTold, true},
+		{"the only zone", slowToTell, 0, []time.Duration{0, time.Second, 3 * time.Second}, false, time.Second, lost + listedTold, true},
+		{"few failures", slowToTell, slowToTell, []time.Duration{0, 3 * time.Second}, false, time.Second, lost + listedTold, true},
+		{"a moment", slowToTell, slowToTell, []time.Duration{0, 10 * ms, 20 * ms}, false, time.Second, lost + listedTold, true},
+		{"connections that lasted", slowToTell, slowToTell, []time.Duration{0, time.Second, 3 * time.Second}, true, time.Second, lost + listedTold, true},
+		{"heard since", slowToTell, slowToTell, []time.Duration{0, time.Second, 3 * time.Second}, false, lost + 3*time.Second + listedWithin, lost + 9*time.Second, true},
+		{"back for long", slowToTell, slowToTell, []time.Duration{0, time.Second, 3 * time.Second}, false, time.Second, back + returnTold, true},
+	} {
+		b := nodeOfZones(c.near, c.far)
+		for _, after := range c.failures {
+			b.zones["near"].book(lost+after, Unconnected)
+		}
+		opened := back
+		if c.kept {
+			opened = time.Second
+		}
+		for _, s := range b.servers {
+			s.prove(c.now, &Outcome{Result: Served, Age: c.now - opened})
+			s.zone.book(back, Served)
+		}
+		b.Members(c.now, Members{Change: ListKept, AsOf: c.heard}, nil)
+		got := slices.ContainsFunc(asked(b, c.now, c.now+900*ms, serveAll), func(s string) bool { return strings.HasPrefix(s, "near") })
+		if got != c.asked {
+			t.Errorf("%s: servers of the zone are asked: %v, want %v", c.name, got, c.asked)
+		}
+	}
+}
