--- a/decide/proof.go
+++ b/decide/proof.go
@@ -132,7 +132,10 @@
 
 // unproven tells whether the server may count as draining or gone though this node has not heard of it.
 func (b *Balancer) unproven(s *server) bool {
-	return b.doubting() && (b.now-s.proof() > proofLasts || !b.livedOn(s) || b.leavesToo(s)) || b.backUntold(s)
+	if b.doubting() && (b.now-s.proof() > proofLasts || !b.livedOn(s) || b.leavesToo(s)) {
+		return true
+	}
+	return b.backUntold(s)
 }
 
 // backUntold tells whether a server may be back from a loss of its zone that counts as told by now though
