--- a/internal/rig/lab/overload_test.go
+++ b/internal/rig/lab/overload_test.go
@@ -147,6 +147,9 @@
 // Discovery is down, and comes back with the work of its other callers before it and into a release: nodes die, and boxes
 // drain one after the other and are replaced. Each change has every node call again, and discovery takes seconds for
 // that. The calls must not keep its queue at a length at which none is answered in time.
+//
+// It fails, with 2 to 48 requests to drained boxes by the last count: whole lists cost 44 lines here, so that a call of each node takes
+// 5.9 s of the 6 s after which a drain counts, and the queue may stay at its time-out for 7 s after the return.
 func TestDiscoveryReturnsIntoARelease(t *testing.T) {
 	t.Parallel()
 	o := overload{nodes: 24, allCalls: 4 * time.Second, settled: 19 * time.Second, recovery: 7 * time.Second, quiet: 3 * time.Second}
@@ -157,6 +160,11 @@
 
 // Discovery moves while its queue is full: all nodes call at once at the new address. Then boxes drain, and the queue must
 // have been cleared by that time.
+//
+// It failed in every run, with 2 to 74 requests to drained boxes: a drain had all nodes call again at once, four times what discovery can
+// take, and those whose old address answered did so in the middle of the pause that their pace had just ordered. Debug lines of 24
+// nodes: answered at 8.37 to 8.43 s, "call to discovery" at the same time, "503 Service Unavailable" at 8.43 or 10.37 s, next call at 14 to
+// 18 s.
 func TestDiscoveryMovesWhileItsQueueIsFull(t *testing.T) {
 	t.Parallel()
 	o := overload{
--- a/internal/rig/lab/release_test.go
+++ b/internal/rig/lab/release_test.go
@@ -58,6 +58,9 @@
 
 // The same boxes go on answering while they drain: only the list tells. Every node then has to be told of hundreds of boxes
 // within the time after which that counts as told.
+//
+// It failed with 97 to 206 requests to drained boxes a play. Nodes that had been told of 300 or 600 of a zone's 800 drains timed out in
+// discovery's queue, and went by proof: all of these requests have "unconfirmed=true" in the debug lines, and their boxes had just answered.
 func TestZoneLeavesALargeFleet(t *testing.T) {
 	for name, replaced := range map[string]time.Duration{"replaced soon": 4 * time.Second, "replaced late": 7 * time.Second} {
 		t.Run(name, func(t *testing.T) { zoneRelease{fault: "leave", boxes: 1600, lines: 3840, replaced: replaced}.play(t) })
--- a/internal/rig/lab/zone_test.go
+++ b/internal/rig/lab/zone_test.go
@@ -66,8 +66,11 @@
 	zoneLoss{boxes: 48, nodes: 42, lines: 2400, noticed: 1500 * time.Millisecond, publishEvery: 100 * time.Millisecond}.play(t)
 }
 
-// A zone of hundreds of boxes is lost while discovery writes a hundredth of the lines in a second that a change of each box to
+// A zone of hundreds of boxes is lost while discovery writes in a second an eightieth of the lines that a change of each box to
 // each node needs. Most nodes hear of the loss when it has counted as told for seconds.
+//
+// It fails, with 4 breaches where it had 7 to 9: open long polls wait for their answers for up to 12 s, and "unconfirmed=false" stands in the
+// debug lines of all of these requests. A node that met the loss knows better now; those that sent the zone nothing meanwhile can't.
 func TestZoneReturnsBeforeASlowDiscovery(t *testing.T) {
 	zoneLoss{boxes: 1600, nodes: 24, lines: 480, noticed: 4 * time.Second, publishEvery: 400 * time.Millisecond}.play(t)
 }
