Test that an answer with no watch behind it confirms the list for 6 s alone

Need: the span by which a node that asks once in a period takes its list for confirmed had no test. Measured: it passes with -race, and fails with the span taken out (confirmed after 7 s).

--- a/internal/node/lists_test.go
+++ b/internal/node/lists_test.go
@@ -9,7 +9,9 @@
 	"testing"
 	"time"
 
+	"curlewring/internal/node/discovery"
 	. "curlewring/internal/node/nodetest"
+	"curlewring/internal/servers/endpoints"
 )
 
 // longListOf makes a list of many draining servers x0 ..., with more in front.
@@ -74,6 +76,26 @@
 	return count
 }
 
+// An answer with no watch behind it confirms the list for 6 s: what changes then is heard with the next answer. One that a long poll
+// follows confirms it until a call fails.
+func TestAnswersWithoutAWatchConfirmForAWhile(t *testing.T) {
+	for _, unwatched := range []bool{false, true} {
+		s := NewServer(t, Say("fine"))
+		d := NewDiscoveryServer(t)
+		n := startNode(t, testConfig(t, d.Listener.Addr().String(), ListOf(1, true, s.Addr()), 1024))
+		var soon, later bool
+		n.loop.step(func(time.Duration) (time.Duration, bool) {
+			now := n.loop.now
+			n.loop.listed(&discovery.Update{List: &endpoints.List{Generation: 2}, Unwatched: unwatched})
+			soon, later = n.loop.balancer.Unconfirmed(now+5*time.Second), n.loop.balancer.Unconfirmed(now+7*time.Second)
+			return 0, false
+		})(0)
+		if soon || later != unwatched {
+			t.Errorf("unwatched: %v; the list is unconfirmed after 5 s: %v, after 7 s: %v", unwatched, soon, later)
+		}
+	}
+}
+
 // Requests must not wait while 8,000 entries (a list holds 1 MiB) change: they are taken between its steps.
 // With the steps taken out the loop takes all in at once, and none is. That is counted in each of five rounds,
 // whatever the machine's pace; the waits themselves are its scheduler's as much as the node's, and only told.
