Keep the call before open while a node that asks once in a period pauses

Cause: once a newer call is answered the one before is called off 250 ms later. That is safe where a long poll follows at once, as it brings what discovery wrote in that moment. A node that asks once in a period has no other call out: the long poll at the old address was called off as discovery wrote the first drain on it, at 8.18 s, and the next call came 6 s later.

Change: the call before stays open while such a node pauses, and what it brings is taken.

Measured: TestPeriodicPausesKeepTheCallBefore forces the order; without the change the list is lost.

--- a/internal/node/discovery/overload_test.go
+++ b/internal/node/discovery/overload_test.go
@@ -313,3 +313,35 @@
 		t.Errorf("the first call at the new address came after %v", took)
 	}
 }
+
+// While a node that asks once in a period pauses, a call of before may be all that it has out. What discovery writes on it counts as
+// told, so it must not be called off after the answer to a newer one: the next call may be 9 s away.
+func TestPeriodicPausesKeepTheCallBefore(t *testing.T) {
+	old, next := newHeldServer(t), newHeldServer(t)
+	updates := make(chan Update, 10)
+	d := New(old.address, endpoints.Place{Node: 1, Nodes: 3}, Quiet(), func(u Update) { updates <- u })
+	d.spread = func() time.Duration { return 0 }
+	d.pace.Overloaded(wallClock(), endpoints.Overload{Took: time.Second, Heard: true, Servers: 3})
+	stop := running(t, d, 3)
+	defer stop()
+	d.SetWatch(true)
+	before := old.call(t)
+	d.Move(next.address)
+	newer := next.call(t)
+	newer.write(t, ListOf(4, true, "127.0.0.1:1 SERVING"))
+	newer.write(t, "")
+	if u := <-updates; u.List == nil || u.List.Generation != 4 {
+		t.Fatalf("reported %+v", u)
+	}
+	time.Sleep(2 * overlap) // what the fault waits for is time itself
+	before.write(t, ListOf(5, true, "127.0.0.1:1 DRAINING"))
+	before.write(t, "")
+	select {
+	case u := <-updates:
+		if u.List == nil || u.List.Generation != 5 {
+			t.Errorf("reported %+v", u)
+		}
+	case <-time.After(Patience):
+		t.Error("what was written on the call before is lost")
+	}
+}
--- a/internal/node/discovery/watch.go
+++ b/internal/node/discovery/watch.go
@@ -234,8 +234,12 @@
 			return
 		}
 		w.lost, w.heard = false, true
-		w.limit.Reset(overlap)
 		w.answered(e)
+		if w.resting { // the call before is all that is out: what is written on it counts as told, and no other brings it
+			w.limit.Stop()
+		} else {
+			w.limit.Reset(overlap)
+		}
 	default:
 		return // called off as it ended
 	}
