Split the judge by job: ledger, checks of a request, notifications

Need: judge.go held 569 lines and three jobs, under names of our earlier house style (word, heard, bench).

Change: request.go checks rules 1 and 2 of one request, notifications.go what nodes were notified of and rule 3; word is notification, bench requestCheck. No behaviour changed.

--- a/internal/rig/standin/judge/judge.go
+++ b/internal/rig/standin/judge/judge.go
@@ -41,7 +41,7 @@
 	Classes      []Class
 	MostAttempts int
 	SecondCopies bool          // two attempts may be out at once, where the class is safe
-	DrainGrace   time.Duration // nothing new to a box later than this after the word
+	DrainGrace   time.Duration // nothing new to a box later than this after it was notified
 	Slack        time.Duration // added to each time limit
 }
 
@@ -133,36 +133,29 @@
 	attempts []attempt
 }
 
-type word struct {
-	at      time.Duration
-	state   State
-	version int  // of the list; a newer one goes before an older, whenever each was told
-	due     bool // it counts as told, whether or not it was
-}
-
 type delay struct{ at, long time.Duration }
 
 // Judge is the ledger.
 type Judge struct {
 	rules Rules
 
-	mu       sync.Mutex
-	requests map[string]*request
-	places   map[string]Place
-	words    map[string]map[string][]word // by node, by box
-	deaths   map[string][]time.Duration
-	starts   map[string][]time.Duration    // of processes that took the place of dead ones
-	stood    map[string][][2]time.Duration // when a node's process stood still
-	fallen   []Breach
-	strays   []Breach
-	lags     []delay
+	mu            sync.Mutex
+	requests      map[string]*request
+	places        map[string]Place
+	notifications map[string]map[string][]notification // by node, by box
+	deaths        map[string][]time.Duration
+	starts        map[string][]time.Duration    // of processes that took the place of dead ones
+	stood         map[string][][2]time.Duration // when a node's process stood still
+	fallen        []Breach
+	strays        []Breach
+	lags          []delay
 }
 
 // New returns an empty ledger.
 func New(r Rules) *Judge {
 	return &Judge{
 		rules: r, requests: map[string]*request{}, places: map[string]Place{},
-		words: map[string]map[string][]word{}, deaths: map[string][]time.Duration{}, starts: map[string][]time.Duration{}, stood: map[string][][2]time.Duration{},
+		notifications: map[string]map[string][]notification{}, deaths: map[string][]time.Duration{}, starts: map[string][]time.Duration{}, stood: map[string][][2]time.Duration{},
 	}
 }
 
@@ -255,37 +248,8 @@
 	return nil
 }
 
-// Told says that discovery has written a box's state to a node.
-func (j *Judge) Told(at time.Duration, node, box string, s State) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	boxes := j.heard(node)
-	if all := boxes[box]; len(all) == 0 || all[len(all)-1].state != s {
-		boxes[box] = append(all, word{at: at, state: s})
-	}
-}
-
-// heard is what a node was told, by box; j.mu is held.
-func (j *Judge) heard(node string) map[string][]word {
-	boxes := j.words[node]
-	if boxes == nil {
-		boxes = map[string][]word{}
-		j.words[node] = boxes
-	}
-	return boxes
-}
-
-// Known says that a box's state counts as told to a node from a time on, as of a version of the list: it has been written
-// then, or, if due, discovery has had it and could be reached for as long as a node may take to ask.
-func (j *Judge) Known(at time.Duration, node, box string, s State, version int, due bool) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	boxes := j.heard(node)
-	boxes[box] = append(boxes[box], word{at, s, version, due})
-}
-
 // Died says that a node was killed: what it held is its callers' to ask again.
-// It starts again with what it was told before, so words to it go on counting.
+// It starts again with what it was told before, so what it was notified of goes on counting.
 func (j *Judge) Died(at time.Duration, node string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
@@ -337,7 +301,7 @@
 // Count is the requests of a class, callers' retries included, and their attempts.
 type Count struct{ Requests, Attempts int }
 
-// Judge goes through the ledger. No further word may come: what has no answer now
+// Judge goes through the ledger. Nothing further may be reported: what has no answer now
 // will have none.
 func (j *Judge) Judge(now time.Duration) Verdict {
 	j.mu.Lock()
@@ -349,7 +313,7 @@
 	}
 	v.Breaches = append(v.Breaches, j.fallen...)
 	v.Breaches = append(v.Breaches, j.strays...)
-	c := &bench{Judge: j, verdict: &v, now: now}
+	c := &requestCheck{Judge: j, verdict: &v, now: now}
 	for _, r := range j.requests {
 		v.Attempts += len(r.attempts)
 		v.ByClass[r.class].Requests++
@@ -367,180 +331,6 @@
 	return v
 }
 
-// bench judges one request.
-type bench struct {
-	*Judge
-	*request
-	verdict *Verdict
-	now     time.Duration
-}
-
-func (c *bench) breach(rule int, at time.Duration, format string, args ...any) {
-	c.verdict.Breaches = append(c.verdict.Breaches, Breach{
-		Rule: rule, What: fmt.Sprintf(format, args...), Request: c.id, At: at, History: c.history(),
-	})
-}
-
-// late tells whether an event came after its limit, by more than the slack and
-// what the machine itself was late by.
-func (c *bench) late(limit, at time.Duration) bool {
-	over := at - limit - c.rules.Slack
-	if over <= 0 {
-		return false
-	}
-	lag := time.Duration(0)
-	from, _ := slices.BinarySearchFunc(c.lags, limit-2*time.Second, func(l delay, t time.Duration) int {
-		return cmp.Compare(l.at, t)
-	})
-	for _, l := range c.lags[from:] {
-		if l.at > at+2*time.Second {
-			break
-		}
-		lag += l.long
-	}
-	if over <= 2*lag { // the delay of this process, and as much in a node's
-		c.verdict.Excused++
-		return false
-	}
-	return true
-}
-
-// answer checks rule 1.
-func (c *bench) answer() {
-	died := false
-	end := c.ended
-	if c.ending == Waiting {
-		end = c.now
-	}
-	for _, at := range c.deaths[c.node] {
-		died = died || at >= c.asked-c.rules.Slack && at <= end+c.rules.Slack
-	}
-	limit := c.asked + c.wait
-	stood := false
-	for _, x := range c.stood[c.node] {
-		stood = stood || x[0] <= end+c.rules.Slack && x[1] >= c.asked-c.rules.Slack
-	}
-	switch {
-	case died:
-	case stood && (c.ending == Left || c.ending != Waiting && c.ending != Lost && c.ended > limit):
-		c.verdict.Excused++
-	case c.ending == Waiting:
-		if c.late(limit, c.now) {
-			c.breach(1, c.now, "no final answer")
-		}
-	case c.ending == Lost:
-		c.breach(1, c.ended, "the connection ended without a whole answer")
-	case c.ending == Left && c.late(limit, c.ended):
-		c.breach(1, c.ended, "no final answer in %v: the caller gave up", c.wait)
-	case c.late(limit, c.ended):
-		c.breach(1, c.ended, "answered %v after %v, its caller waits for %v", c.ending, c.ended-c.asked, c.wait)
-	}
-	if c.ending == Served && !slices.ContainsFunc(c.attempts, func(a attempt) bool {
-		return a.box == c.maker && a.how == Done
-	}) {
-		c.breach(1, c.ended, "served with an answer of box %q, which answered no attempt of it", c.maker)
-	}
-	if c.ending == Waiting || c.ending == Lost || died {
-		return
-	}
-	for _, a := range c.attempts {
-		if a.at > c.ended && c.late(c.ended, a.at) {
-			c.breach(1, a.at, "box %s got it %v after its final answer", a.box, a.at-c.ended)
-		}
-	}
-}
-
-// effects checks rule 2.
-func (c *bench) effects() {
-	class := c.rules.Classes[c.class]
-	if len(c.attempts) > c.rules.MostAttempts {
-		c.breach(2, c.attempts[len(c.attempts)-1].at, "%d attempts, at most %d are allowed", len(c.attempts), c.rules.MostAttempts)
-	}
-	ran := 0
-	may := -1 // the first that may have run
-	for i, a := range c.attempts {
-		for _, b := range c.attempts[:i] {
-			out := b.how == Open || b.ended > a.at && c.late(a.at, b.ended)
-			if out && !(c.rules.SecondCopies && class.Effect == Safe) {
-				c.breach(2, a.at, "two attempts out at once: at %s and %s", b.box, a.box)
-			}
-		}
-		if may >= 0 {
-			c.again(class, &c.attempts[may], &a)
-		}
-		if a.how != TurnedAway && may < 0 {
-			may = i
-		}
-		if ran += a.effects; a.effects > 0 && ran > 1 && class.Effect != Safe {
-			c.breach(2, a.ranAt, "its effect happened %d times", ran)
-		}
-	}
-	if c.ending == Refused && may >= 0 &&
-		(class.Effect == Unsafe || class.Effect == Keyed && class.Group != All) {
-		c.breach(2, c.ended, "refused though the attempt at %s may have run", c.attempts[may].box)
-	}
-}
-
-// again checks an attempt after one that may have run.
-func (c *bench) again(class Class, first, a *attempt) {
-	switch class.Effect {
-	case Unsafe:
-		c.breach(2, a.at, "sent to %s though the attempt at %s may have run", a.box, first.box)
-	case Keyed:
-		if c.late(first.at+class.Window, a.at) {
-			c.breach(2, a.at, "repeated %v after the first, boxes drop repeats for %v", a.at-first.at, class.Window)
-		}
-		here, there := c.places[first.box], c.places[a.box]
-		if class.Group == Site && here.Site != there.Site || class.Group == Rack && here != there {
-			c.breach(2, a.at, "repeated at %s, which does not drop repeats of what ran at %s", a.box, first.box)
-		}
-	}
-}
-
-// startGrace is how long after its start what fell due before does not count as told to a process that takes a dead one's
-// place: it has to ask first, and knows neither how old its list is nor which boxes still take work.
-const startGrace = 2 * time.Second
-
-// began tells when the process that a node runs at a time took the place of a dead one, and false if none has died.
-func (c *bench) began(at time.Duration) (began time.Duration, ok bool) {
-	for _, times := range [...][]time.Duration{c.deaths[c.node], c.starts[c.node]} {
-		for _, x := range times {
-			if x < at {
-				began, ok = max(began, x), true
-			}
-		}
-	}
-	return began, ok
-}
-
-// drains checks rule 3.
-func (c *bench) drains() {
-	for _, a := range c.attempts {
-		last := word{}
-		for _, w := range c.words[c.node][a.box] {
-			if w.at <= a.at && (w.version > last.version || w.version == last.version && (w.version == 0 || w.at < last.at)) {
-				last = w
-			}
-		}
-		told := last.at
-		for _, x := range c.stood[c.node] { // what comes to a process that stands still it is told once it goes on
-			if x[0] <= told && told < x[1] {
-				told = x[1]
-			}
-		}
-		if began, ok := c.began(a.at); last.due && ok {
-			told = max(told, began+startGrace)
-		}
-		if last.state != Serving && c.late(told+c.rules.DrainGrace, a.at) {
-			what := "was told"
-			if last.due {
-				what = "counts as told"
-			}
-			c.breach(3, a.at, "box %s got it %v after node %s %s that it is %v", a.box, a.at-last.at, c.node, what, last.state)
-		}
-	}
-}
-
 // history tells a request's life, a line an event.
 func (r *request) history() []string {
 	type line struct {
