Nodes that are held to their list for less than a period make no periodic calls

Cause, by reading: where the settings hold a node without a watch to its list for a few seconds only (ask_within_ns), a change counts as told before the next of its periodic calls, which are 6 s apart and may wait in the queue.

Change: such nodes keep to long polls: under 9 s, a period and the longest wait in the queue.

Measured: TestShortListsAreAskedForInAnOverload has both sides of the bound; virtual time's tests pass.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -86,7 +86,10 @@
 	n.loop = newLoop(inner, c, n.clock, n.upstream, log)
 	n.loop.lag = n.worker.Lag
 	n.upstream.OnClose(n.loop.trace.closes())
-	place := endpoints.Place{Node: c.Settings.Node, Nodes: c.Settings.Nodes, Tier: c.Settings.Tier, Pushed: !c.Settings.MustAsk, Seed: c.Seed}
+	place := endpoints.Place{
+		Node: c.Settings.Node, Nodes: c.Settings.Nodes, Tier: c.Settings.Tier, AskWithin: c.Settings.AskWithin,
+		Pushed: !c.Settings.MustAsk, Seed: c.Seed,
+	}
 	n.loop.discovery = discovery.New(c.Discovery, place, log, func(u discovery.Update) { n.loop.post(u) })
 	n.loop.budgets = newBudgets(c, log)
 	n.callers = newCallers(c, n.clock, n.loop)
--- a/internal/servers/endpoints/pace.go
+++ b/internal/servers/endpoints/pace.go
@@ -46,6 +46,9 @@
 	answeredSoon = answeredLate / 2
 	// After so many periodic calls in a row that failed, only the pauses of long polls give discovery time enough.
 	periodicInVain = 3
+	// Periodic calls leave a node without a watch for a period, and the next call may wait in the queue before it is answered. A node
+	// that is held to its list for less than that makes none.
+	periodicLeast = periodicCalls + longestQueue
 	// After so many answers in a row with nothing new the node's list is quiet, and a long poll costs discovery less.
 	periodicQuiet = 2
 	// An overload counts as over when so much of the failures is left.
@@ -77,6 +80,7 @@
 	most     time.Duration // ... and at the most
 	reset    time.Duration // over which a fleet's calls are spread after a reset
 
+	seldom bool // calls may be as seldom as periodic ones
 	mode   mode
 	period time.Duration // of periodic calls
 	slow   bool          // discovery, to write whole lists
@@ -95,6 +99,8 @@
 		first: min(max(backOffFirst, nodes*backOffTurn), backOffSoon),
 		most:  min(max(backOffFleet, nodes*backOffANode), backOffMost),
 		reset: resetSpread,
+
+		seldom: p.AskWithin == 0 || p.AskWithin >= periodicLeast,
 	}
 }
 
@@ -127,7 +133,7 @@
 // askPeriodically takes an overload, and tells whether the node asks once in a period from now on.
 func (p *Pace) askPeriodically(call Overload) bool {
 	switch {
-	case p.mode == longPollOnly || p.most == backOffAlone || call.Servers == 0 || call.Servers > periodicServers:
+	case p.mode == longPollOnly || !p.seldom || call.Servers == 0 || call.Servers > periodicServers:
 		p.mode = longPollOnly
 	case p.mode == longPolling && call.Heard:
 		p.mode, p.period, p.slow, p.failed, p.quiet = periodic, periodicCalls, false, 0, 0
--- a/internal/servers/endpoints/pace_test.go
+++ b/internal/servers/endpoints/pace_test.go
@@ -130,7 +130,8 @@
 }
 
 // In an overload a node with a short list asks for the whole of it, once in a period: answers to long polls cost discovery a call of
-// each node for each change. A long list would cost it more than that, and a node alone or one that has not heard discovery asks soon.
+// each node for each change. A long list would cost it more than that, a node alone or one that has not heard discovery asks soon, and one
+// without a watch that is held to its list for less than a period must keep one.
 func TestShortListsAreAskedForInAnOverload(t *testing.T) {
 	at := Place{Node: 5, Nodes: 24}
 	for name, c := range map[string]struct {
@@ -143,6 +144,8 @@
 		"a long list":    {at, Overload{Took: 2 * time.Second, Heard: true, Servers: periodicServers + 1}, false},
 		"not known":      {at, Overload{Took: 2 * time.Second, Heard: true}, false},
 		"a new process":  {at, Overload{Took: 2 * time.Second, Servers: periodicServers}, false},
+		"held for long":  {Place{Node: 5, Nodes: 24, AskWithin: periodicLeast}, Overload{Took: 2 * time.Second, Heard: true, Servers: 1}, true},
+		"held briefly":   {Place{Node: 5, Nodes: 24, AskWithin: periodicLeast - 1}, Overload{Took: 2 * time.Second, Heard: true, Servers: 1}, false},
 		"one node alone": {Place{Nodes: 1}, Overload{Took: 2 * time.Second, Heard: true, Servers: periodicServers}, false},
 	} {
 		p := NewPace(c.at)
--- a/internal/servers/endpoints/poll.go
+++ b/internal/servers/endpoints/poll.go
@@ -36,7 +36,8 @@
 type Place struct {
 	Node, Nodes int // its number in its tier; under 0: unknown
 	Tier        int
-	Pushed      bool // lists come from an agent beside it, at no cost
+	AskWithin   time.Duration // a node without a watch is held to its list for so long after a call; 0: for good
+	Pushed      bool          // lists come from an agent beside it, at no cost
 	Seed        uint64
 }
 
