--- a/internal/rig/lab/overload_test.go
+++ b/internal/rig/lab/overload_test.go
@@ -174,3 +174,41 @@
 	o.play(t, "backlog:at=500ms,by=4", "move:at=1s",
 		"leave:box=1,at=7s,for=8s", "leave:box=4,at=7900ms,for=8s", "leave:box=7,at=8800ms,for=8s")
 }
+
+// movedFleet is a fleet before a discovery that moves while its queue is full, and three boxes that drain so far apart.
+type movedFleet struct {
+	nodes           int
+	allCalls, apart time.Duration
+}
+
+func (m movedFleet) play(t *testing.T) {
+	t.Helper()
+	o := overload{
+		nodes: m.nodes, allCalls: m.allCalls, settled: 18 * time.Second, recovery: 7 * time.Second, quiet: 3 * time.Second,
+		logged: "discovery moves",
+	}
+	faults := []string{"backlog:at=500ms,by=4", "move:at=1s"}
+	for i := range 3 {
+		faults = append(faults, fmt.Sprintf("leave:box=%d,at=%v,for=8s", 1+3*i, 7*time.Second+time.Duration(i)*m.apart))
+	}
+	o.play(t, faults...)
+}
+
+// The same with other numbers of nodes, drains and capacities.
+//
+// It fails where discovery takes 5 s for a call of each node, and so 7.3 s to write the whole list to each, which is more than the 6 s after
+// which a drain counts; 40 nodes at 4 s have failed beside other work.
+func TestDiscoveryMovesBeforeOtherFleets(t *testing.T) {
+	for _, m := range []movedFleet{
+		{12, 4 * time.Second, 900 * time.Millisecond},
+		{40, 4 * time.Second, 900 * time.Millisecond},
+		{24, 3 * time.Second, 900 * time.Millisecond},
+		{24, 5 * time.Second, 900 * time.Millisecond},
+		{24, 4 * time.Second, 400 * time.Millisecond},
+	} {
+		t.Run(fmt.Sprintf("%d nodes, %v, %v apart", m.nodes, m.allCalls, m.apart), func(t *testing.T) {
+			t.Parallel()
+			m.play(t)
+		})
+	}
+}
