Remember each removed server once, whatever is reported meanwhile

The lists of held and of superseded servers grew by reports as well (994 and 1,000 entries of one server after 1,000 rounds).

Change: tombstones, held and superseded servers are ordered sets of IDs. A record keeps the highest generation that reported its departure, and a list that is older than that holds the server back. Of removals that are evicted the view keeps the highest generation and the latest start: a server without a record that an older list names, and that may be one of them, is held back too. So the limit need not grow with the list: after two releases of 3,200 servers none of the first ones is published by a list from before.

--- a/internal/servers/endpoints/held_test.go
+++ b/internal/servers/endpoints/held_test.go
@@ -14,7 +14,7 @@
 		v.Apply(now, deltaList(uint64(2*i+11), entry("a", draining, second)))
 		v.Apply(now, deltaList(uint64(2*i+12), entry("a", serving, second)))
 	}
-	assertEqual(t, "held", len(v.held), 1)
+	assertEqual(t, "held", v.held.Len(), 1)
 	newest := entry("newest", serving, time.Hour)
 	newest.Address = "a:1"
 	v = fiveServerView()
@@ -22,7 +22,7 @@
 	for i := range 1000 { // superseded, reported with a newer start time and superseded again
 		v.Apply(2*second, deltaList(uint64(12+i), entry("a", serving, second+time.Duration(i))))
 	}
-	assertEqual(t, "superseded, newer start times", len(v.superseded), 1)
+	assertEqual(t, "superseded, newer start times", v.superseded.Len(), 1)
 	v = fiveServerView()
 	v.Apply(second, deltaList(11, newest))
 	for i := range 1000 { // superseded, drained by a partial answer and superseded again
@@ -30,5 +30,5 @@
 		v.ApplyPartial(now, []Entry{entry("a", draining, second)})
 		v.Apply(now, deltaList(uint64(12+i), entry("a", serving, second)))
 	}
-	assertEqual(t, "superseded, partial answers", len(v.superseded), 1)
+	assertEqual(t, "superseded, partial answers", v.superseded.Len(), 1)
 }
--- a/internal/servers/endpoints/tombstone_test.go
+++ b/internal/servers/endpoints/tombstone_test.go
@@ -190,30 +190,20 @@
 	}
 }
 
-// releaseEntries returns the servers of a release of 3,200, all with one health.
-func releaseEntries(release string, h decide.Health) (all []Entry) {
-	for i := range 3200 {
-		all = append(all, entry(fmt.Sprintf("%s-%04d", release, i), h, second))
-	}
-	return all
-}
-
 // More servers than MaxTombstones are replaced under new names: an older list must not publish the old ones at once.
 func TestOlderListAfterLargeReleases(t *testing.T) {
-	replace := func(from, to string) []Entry {
-		return append(releaseEntries(from, removed), releaseEntries(to, serving)...)
-	}
-	first := releaseEntries("first", serving)
+	const count = 3200
+	first := fullList(1, namedServers("first", count, serving)...)
 	v := New(Settings{})
-	v.Apply(second, fullList(1, first...))
-	v.Apply(2*second, deltaList(2, replace("first", "second")...))
-	v.Apply(3*second, deltaList(3, replace("second", "third")...))
-	v.Apply(4*second, deltaList(1, first...))
-	assertEqual(t, "serving after two releases and a list of changes", v.ServingCount(), 3200)
+	v.Apply(second, first)
+	v.Apply(2*second, release(2, "first", "second", count))
+	v.Apply(3*second, release(3, "second", "third", count))
+	v.Apply(4*second, deltaList(1, first.Entries...))
+	assertEqual(t, "serving after two releases and a list of changes", v.ServingCount(), count)
 	v = New(Settings{})
-	v.Apply(second, fullList(1, first...))
-	v.Apply(2*second, deltaList(2, replace("first", "second")...))
-	v.Apply(3*second, fullList(1, first...)) // removes the second release as well
+	v.Apply(second, first)
+	v.Apply(2*second, release(2, "first", "second", count))
+	v.Apply(3*second, first) // removes the second release as well
 	assertEqual(t, "serving after one release and the whole list before it", v.ServingCount(), 0)
 }
 
--- a/internal/servers/endpoints/view.go
+++ b/internal/servers/endpoints/view.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"curlewring/decide"
+	"curlewring/internal/servers/orderedset"
 )
 
 // Settings configure a View. The zero value of a field selects its default.
@@ -19,7 +20,7 @@
 	FlapThreshold    int           // returns in the window that are admitted at once; default 2
 	FlapInitialDelay time.Duration // delay of the next return, doubled by each further one; default 2 s
 	FlapMaxDelay     time.Duration // upper bound of that delay; default 30 s
-	MaxTombstones    int           // removed servers that are remembered; default 4096
+	MaxTombstones    int           // removed servers that have a record; default 4096
 }
 
 func (s Settings) withDefaults() Settings {
@@ -38,14 +39,14 @@
 
 // serverRecord is the state of one server, which may have been removed.
 type serverRecord struct {
-	Entry                           // as reported by the newest list
-	published         decide.Health // health that the event loop has been given
-	returnCount       int           // returns in the flap window
-	lastTransition    time.Duration // time of the last return or departure
-	heldUntil         time.Duration // not published as serving before this time; 0: not held
-	endsWithNewerList bool          // the hold also ends with a list above the highest generation
-	supersededBy      string        // ID of a newer process at its address; "": none
-	tombstoneSeq      uint64        // its tombstone; 0: not removed
+	Entry                             // as reported by the newest list
+	published           decide.Health // health that the event loop has been given
+	returnCount         int           // returns in the flap window
+	lastTransition      time.Duration // time of the last return or departure
+	departureGeneration uint64        // highest of the lists that reported it as draining or removed since it was last admitted
+	heldUntil           time.Duration // not published as serving before this time; 0: not held
+	endsWithNewerList   bool          // the hold also ends with a list above the highest generation
+	supersededBy        string        // ID of a newer process at its address; "": none
 }
 
 // recordTransition records that the server returns or departs. Returns before a stable period of length window are
@@ -67,20 +68,41 @@
 	generation        uint64            // of the newest list
 	highestGeneration uint64            // highest of any list
 	hasList           bool
-	held              []string    // IDs with heldUntil set
-	superseded        []string    // IDs of servers whose address belongs to a newer process
-	tombstones        []tombstone // oldest first
-	lastTombstoneSeq  uint64
+	held              orderedset.Set // IDs with heldUntil set
+	superseded        orderedset.Set // IDs with supersededBy set
+	tombstones        orderedset.Set // IDs of removed servers, in order of removal
+	forgotten         forgottenRemovals
 	changes           []Entry
 	anomalies         []Anomaly
 }
 
-// tombstone marks a removed server. seq gives the order of removal.
-type tombstone struct {
-	id  string
-	seq uint64
+// forgottenRemovals describes the removed servers that have no record any more.
+type forgottenRemovals struct {
+	generation uint64        // highest departureGeneration
+	started    time.Duration // latest start time
 }
 
+// add extends the description by a server.
+func (f *forgottenRemovals) add(r *serverRecord) {
+	f.generation, f.started = max(f.generation, r.departureGeneration), max(f.started, r.Started)
+}
+
+// mayInclude reports whether a server without a record may have been removed after the list of that generation.
+func (f *forgottenRemovals) mayInclude(e *Entry, generation uint64) bool {
+	return generation < f.generation && e.Started <= f.started
+}
+
+// listInfo describes the list whose entries are being processed.
+type listInfo struct {
+	receivedAt   time.Duration
+	generation   uint64
+	backwards    bool // it is older than the list before it
+	aboveHighest bool // its generation is above the highest so far
+}
+
+// olderThan reports whether the list is older than a generation.
+func (l *listInfo) olderThan(generation uint64) bool { return l.backwards || l.generation < generation }
+
 // AnomalyKind classifies an anomaly of a list.
 type AnomalyKind string
 
@@ -129,15 +151,27 @@
 		r := &serverRecord{Entry: *e, published: e.Health}
 		if old := v.records[e.ID]; old != nil {
 			v.removeFromServing(old)
+			v.endHold(old)
+			v.endSuperseded(old)
+			v.tombstones.Delete(old.ID)
 		}
 		v.records[e.ID] = r
 		if e.Health == decide.Healthy {
 			v.serving++
 			v.addressOwners[e.Address] = e.ID
-		} else if e.Health == decide.Removed {
+			continue
+		}
+		r.departureGeneration = l.Generation
+		if e.Health == decide.Removed {
 			v.addTombstone(r)
 		}
 	}
+	if v.tombstones.Len() >= v.settings.MaxTombstones { // the list may lack earlier removals
+		for _, r := range v.records {
+			v.forgotten.add(r)
+		}
+		v.forgotten.generation = l.Generation
+	}
 	v.generation, v.highestGeneration = l.Generation, l.Generation
 	v.hasList = l.Generation > 0
 }
@@ -151,15 +185,17 @@
 // Apply processes a list from discovery. The changes include every drain and removal that it reports.
 func (v *View) Apply(now time.Duration, l *List) Update {
 	v.changes, v.anomalies = v.changes[:0], v.anomalies[:0]
-	backwards := v.hasList && l.Generation < v.generation
-	aboveHighest := l.Generation > v.highestGeneration
-	if backwards {
+	info := listInfo{
+		receivedAt: now, generation: l.Generation,
+		backwards: v.hasList && l.Generation < v.generation, aboveHighest: l.Generation > v.highestGeneration,
+	}
+	if info.backwards {
 		v.reportAnomaly(GenerationRollback, "", fmt.Sprintf("from %d to %d", v.generation, l.Generation))
 	}
 	before := v.serving
 	entries := v.deduplicate(l.Entries)
 	if l.Whole {
-		v.removeUnlisted(now, entries)
+		v.removeUnlisted(&info, entries)
 		if len(entries) == 0 && before > 0 {
 			v.reportAnomaly(EmptyList, "", fmt.Sprintf("%d servers were serving", before))
 		}
@@ -167,13 +203,13 @@
 	// Drains and removals go first: an address that becomes free may be reused in the same list.
 	for i := range entries {
 		if e := &entries[i]; e.Health != decide.Healthy {
-			v.applyNotServing(now, e)
+			v.applyNotServing(&info, e)
 		}
 	}
 	lost := before - v.serving
 	for i := range entries {
 		if e := &entries[i]; e.Health == decide.Healthy {
-			v.applyServing(now, e, backwards, aboveHighest)
+			v.applyServing(&info, e)
 		}
 	}
 	v.restoreSuperseded()
@@ -193,8 +229,9 @@
 // generation stays as it is, so the next list repeats them.
 func (v *View) ApplyPartial(now time.Duration, entries []Entry) []Entry {
 	v.changes = v.changes[:0]
+	info := listInfo{receivedAt: now, generation: v.generation + 1}
 	for i := range entries {
-		v.applyNotServing(now, &entries[i])
+		v.applyNotServing(&info, &entries[i])
 	}
 	return v.changes
 }
@@ -202,27 +239,22 @@
 // ReleaseDue publishes the held servers whose delay is over.
 func (v *View) ReleaseDue(now time.Duration) []Entry {
 	v.changes = v.changes[:0]
-	remaining := v.held[:0]
-	for _, id := range v.held {
+	for id := range v.held.All() {
 		r := v.records[id]
-		switch {
-		case r == nil || r.heldUntil == 0:
-		case r.heldUntil <= now:
-			r.heldUntil, r.lastTransition = 0, now
-			v.admit(now, r)
-		default:
-			remaining = append(remaining, id)
+		if r.heldUntil > now {
+			continue
 		}
+		v.endHold(r)
+		r.lastTransition = now
+		v.admit(r)
 	}
-	clear(v.held[len(remaining):])
-	v.held = remaining
 	return v.changes
 }
 
 // NextRelease returns when ReleaseDue has work to do next, and false if no server is held.
 func (v *View) NextRelease() (at time.Duration, ok bool) {
-	for _, id := range v.held {
-		if r := v.records[id]; r != nil && r.heldUntil > 0 && (!ok || r.heldUntil < at) {
+	for id := range v.held.All() {
+		if r := v.records[id]; !ok || r.heldUntil < at {
 			at, ok = r.heldUntil, true
 		}
 	}
@@ -323,7 +355,7 @@
 }
 
 // removeUnlisted removes every server that a whole list does not contain.
-func (v *View) removeUnlisted(now time.Duration, entries []Entry) {
+func (v *View) removeUnlisted(info *listInfo, entries []Entry) {
 	listed := make(map[string]struct{}, len(entries))
 	for i := range entries {
 		listed[entries[i].ID] = struct{}{}
@@ -338,25 +370,19 @@
 	for _, r := range unlisted {
 		e := r.Entry
 		e.Health = decide.Removed
-		v.applyNotServing(now, &e)
+		v.applyNotServing(info, &e)
 	}
 }
 
 // applyNotServing processes an entry that reports a server as draining or removed.
-func (v *View) applyNotServing(now time.Duration, e *Entry) {
+func (v *View) applyNotServing(info *listInfo, e *Entry) {
 	r := v.records[e.ID]
 	if r == nil {
-		r = &serverRecord{Entry: *e, published: decide.Removed}
-		v.records[e.ID] = r
-		if e.Health == decide.Draining {
-			v.publish(r, decide.Draining)
-		} else {
-			v.addTombstone(r)
-		}
+		v.addNotServing(info, e)
 		return
 	}
 	if r.published == decide.Healthy {
-		r.recordTransition(now, v.settings.FlapWindow)
+		r.recordTransition(info.receivedAt, v.settings.FlapWindow)
 	}
 	address, started := r.Address, r.Started
 	previous := r.published
@@ -364,7 +390,9 @@
 		v.removeFromServing(r)
 		r.published = decide.Draining // already taken out of the serving count
 	}
-	r.Entry, r.heldUntil, r.endsWithNewerList, r.supersededBy = *e, 0, false, ""
+	v.endHold(r)
+	v.endSuperseded(r)
+	r.Entry, r.departureGeneration = *e, max(r.departureGeneration, info.generation)
 	if r.Address == "" {
 		r.Address = address
 	}
@@ -375,118 +403,159 @@
 	if e.Health == decide.Removed {
 		v.addTombstone(r)
 	} else {
-		r.tombstoneSeq = 0
+		v.tombstones.Delete(r.ID)
 	}
 }
 
-// applyServing processes an entry that reports a server as serving. backwards: the list is older than the one before
-// it; aboveHighest: its generation is above the highest so far.
-func (v *View) applyServing(now time.Duration, e *Entry, backwards, aboveHighest bool) {
+// addNotServing adds a server that is new to this view and reported as draining or removed.
+func (v *View) addNotServing(info *listInfo, e *Entry) {
+	r := &serverRecord{Entry: *e, published: decide.Removed, departureGeneration: info.generation}
+	v.records[e.ID] = r
+	if e.Health == decide.Draining {
+		v.publish(r, decide.Draining)
+	} else {
+		v.addTombstone(r)
+	}
+}
+
+// applyServing processes an entry that reports a server as serving.
+func (v *View) applyServing(info *listInfo, e *Entry) {
 	r := v.records[e.ID]
 	if r == nil {
-		r = &serverRecord{Entry: *e, published: decide.Removed}
-		v.records[e.ID] = r
-		v.admit(now, r)
+		v.addServing(info, e)
 		return
 	}
 	newer := e.Started > r.Started
 	if r.published == decide.Healthy {
-		if e.Started < r.Started { // an outdated report of an earlier process: keep the start time
-			older := *e
-			older.Started = r.Started
-			e = &older
-		}
-		if *e == r.Entry {
-			return
-		}
-		v.removeFromServing(r)
-		r.published = decide.Removed // so that admit publishes it again
-		r.Entry = *e
-		v.admit(now, r)
+		v.updateServing(r, e)
 		return
 	}
 	known := r.Started
-	r.Entry, r.tombstoneSeq = *e, 0
+	r.Entry = *e
 	r.Started = max(known, e.Started)
+	v.tombstones.Delete(r.ID)
 	if r.supersededBy != "" && !newer {
 		return // a newer process has its address; restoreSuperseded checks whether it still does
 	}
 	if r.heldUntil > 0 {
-		if newer || r.endsWithNewerList && aboveHighest {
-			r.heldUntil, r.endsWithNewerList = 0, false
-			v.admit(now, r)
+		if newer || r.endsWithNewerList && info.aboveHighest {
+			v.endHold(r)
+			v.admit(r)
 		}
 		return
 	}
-	delay := time.Duration(0)
-	r.recordTransition(now, v.settings.FlapWindow)
+	r.recordTransition(info.receivedAt, v.settings.FlapWindow)
 	switch {
 	case newer:
-	case backwards:
-		delay, r.endsWithNewerList = v.settings.RollbackDelay, true
-		v.reportAnomaly(ReturnInOlderList, e.ID, fmt.Sprintf("held for %v or until a newer list arrives", delay))
+		v.admit(r)
+	case info.olderThan(r.departureGeneration):
+		v.holdReturn(info, r)
 	case r.returnCount >= v.settings.FlapThreshold:
-		delay = min(v.settings.FlapInitialDelay<<min(r.returnCount-v.settings.FlapThreshold, 16), v.settings.FlapMaxDelay)
+		delay := min(v.settings.FlapInitialDelay<<min(r.returnCount-v.settings.FlapThreshold, 16), v.settings.FlapMaxDelay)
 		v.reportAnomaly(Flapping, e.ID, fmt.Sprintf("%d returns, held for %v", r.returnCount, delay))
+		v.hold(r, info.receivedAt+delay)
+	default:
+		v.admit(r)
 	}
 	r.returnCount++
-	if delay > 0 {
-		r.heldUntil = now + delay
-		v.held = append(v.held, r.ID)
+}
+
+// addServing adds a server that is new to this view and reported as serving.
+func (v *View) addServing(info *listInfo, e *Entry) {
+	r := &serverRecord{Entry: *e, published: decide.Removed}
+	v.records[e.ID] = r
+	if v.forgotten.mayInclude(e, info.generation) {
+		v.holdReturn(info, r)
 		return
 	}
-	v.admit(now, r)
+	v.admit(r)
+}
+
+// updateServing processes a further report that a server which is published as serving does so.
+func (v *View) updateServing(r *serverRecord, e *Entry) {
+	updated := *e
+	updated.Started = max(e.Started, r.Started) // the report may be an outdated one of an earlier process
+	if updated == r.Entry {
+		return
+	}
+	v.removeFromServing(r)
+	r.published = decide.Removed // so that admit publishes it again
+	r.Entry = updated
+	v.admit(r)
+}
+
+// holdReturn holds back a server that a list reports as serving although it departed after that list.
+func (v *View) holdReturn(info *listInfo, r *serverRecord) {
+	v.reportAnomaly(ReturnInOlderList, r.ID, fmt.Sprintf("held for %v or until a newer list arrives", v.settings.RollbackDelay))
+	v.hold(r, info.receivedAt+v.settings.RollbackDelay)
+	r.endsWithNewerList = true
+}
+
+// hold holds back a server until a time.
+func (v *View) hold(r *serverRecord, until time.Duration) {
+	r.heldUntil = until
+	v.held.Add(r.ID)
+}
+
+// endHold ends the hold of a server, if there is one.
+func (v *View) endHold(r *serverRecord) {
+	r.heldUntil, r.endsWithNewerList = 0, false
+	v.held.Delete(r.ID)
 }
 
 // admit publishes a server as serving, unless a newer process has its address.
-func (v *View) admit(now time.Duration, r *serverRecord) {
+func (v *View) admit(r *serverRecord) {
+	v.endSuperseded(r)
 	if id, ok := v.addressOwners[r.Address]; ok && id != r.ID {
 		other := v.records[id]
 		v.reportAnomaly(AddressConflict, r.ID, fmt.Sprintf("%s is at %s too", id, r.Address))
 		switch {
 		case r.Started > other.Started && other.Started > 0:
 			v.publish(other, decide.Draining)
-			other.supersededBy = r.ID
-			v.superseded = append(v.superseded, id)
+			v.supersede(other, r.ID)
 		case r.Started < other.Started && r.Started > 0:
-			r.supersededBy = id
-			v.superseded = append(v.superseded, r.ID)
+			v.supersede(r, id)
 			if r.published != decide.Draining {
 				v.publish(r, decide.Draining)
 			}
 			return
 		}
 	}
+	r.departureGeneration = 0
 	v.publish(r, decide.Healthy)
 }
 
+// supersede marks a server whose address belongs to a newer process.
+func (v *View) supersede(r *serverRecord, by string) {
+	r.supersededBy = by
+	v.superseded.Add(r.ID)
+}
+
+// endSuperseded clears that mark, if it is set.
+func (v *View) endSuperseded(r *serverRecord) {
+	r.supersededBy = ""
+	v.superseded.Delete(r.ID)
+}
+
 // restoreSuperseded publishes servers again whose address the newer process has left.
 func (v *View) restoreSuperseded() {
-	remaining := v.superseded[:0]
-	for _, id := range v.superseded {
+	for id := range v.superseded.All() {
 		r := v.records[id]
-		switch {
-		case r == nil || r.supersededBy == "":
-		case v.Health(r.supersededBy) == decide.Healthy && v.records[r.supersededBy].Address == r.Address:
-			remaining = append(remaining, id)
-		case r.Health == decide.Healthy:
-			r.supersededBy = ""
-			v.publish(r, decide.Healthy)
+		if v.Health(r.supersededBy) == decide.Healthy && v.records[r.supersededBy].Address == r.Address {
+			continue
 		}
+		v.endSuperseded(r)
+		v.publish(r, decide.Healthy)
 	}
-	v.superseded = remaining
 }
 
 // addTombstone marks a server as removed and forgets the oldest removals beyond the limit.
 func (v *View) addTombstone(r *serverRecord) {
-	v.lastTombstoneSeq++
-	r.tombstoneSeq = v.lastTombstoneSeq
-	v.tombstones = append(v.tombstones, tombstone{r.ID, v.lastTombstoneSeq})
-	for len(v.tombstones) > v.settings.MaxTombstones {
-		oldest := v.tombstones[0]
-		v.tombstones = v.tombstones[1:]
-		if r := v.records[oldest.id]; r != nil && r.tombstoneSeq == oldest.seq {
-			delete(v.records, oldest.id)
-		}
+	v.tombstones.Add(r.ID)
+	for v.tombstones.Len() > v.settings.MaxTombstones {
+		oldest, _ := v.tombstones.Oldest()
+		v.forgotten.add(v.records[oldest])
+		v.tombstones.Delete(oldest)
+		delete(v.records, oldest)
 	}
 }
