Bound the tombstones of the server DB by its rows, and keep their order

What was seen: three servers that come and go, 50,000 removals each, left 150,000 tombstones for 3 rows; the slice grew for as long as the process lived. After a restart removals were numbered by wall time, so that a clock that was a year ahead had a later removal evicted first.

Change: an ordered set of IDs, and a sequence number at the end of a row. Earlier versions skip that field, and rows without it count as removed first. FuzzRows checks whole rows now, with and without the number.

--- a/internal/servers/serverdb/db.go
+++ b/internal/servers/serverdb/db.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"curlewring/internal/servers/orderedset"
 	"curlewring/internal/store"
 )
 
@@ -47,32 +48,26 @@
 
 // DB holds the persisted servers and the persisted list.
 type DB struct {
-	settings                         Settings
-	store                            *store.Store
-	rows                             map[string]*row
-	list                             List
-	tombstones                       []tombstone // in order of removal; some of the servers may have returned
-	lastTombstoneSeq, tombstoneCount int         // last sequence number in use, and number of removed servers
-	digest                           uint64      // of all servers as listed
-	tokens                           float64     // of the write rate limit
-	refilledAt                       time.Duration
-	pending                          map[string]struct{} // IDs of servers whose row waits for tokens
-	listPending                      bool
-	buffer                           []byte
-	droppedRows                      int // rows that did not fit
+	settings       Settings
+	store          *store.Store
+	rows           map[string]*row
+	list           List
+	tombstones     orderedset.Set // IDs of removed servers, in order of removal
+	lastRemovalSeq uint64         // last sequence number in use
+	digest         uint64         // of all servers as listed
+	tokens         float64        // of the write rate limit
+	refilledAt     time.Duration
+	pending        map[string]struct{} // IDs of servers whose row waits for tokens
+	listPending    bool
+	buffer         []byte
+	droppedRows    int // rows that did not fit
 }
 
 // row is a server with its state in the store.
 type row struct {
 	Server
-	written      Server // as last written to the store
-	tombstoneSeq int    // 0: not removed
-}
-
-// tombstone marks a removed server. seq gives the order of removal.
-type tombstone struct {
-	id  string
-	seq int
+	written    Server // as last written to the store
+	removalSeq uint64 // gives the order of removal; 0: not removed, or removed by a version that did not write it
 }
 
 // Open reads the contents of the store. The warnings name the rows that could not be decoded, one line each.
@@ -83,19 +78,15 @@
 	db.tokens = db.settings.WritesPerSecond * burstSeconds
 	var warnings []string
 	for _, id := range s.Keys(tableServers) {
-		server, err := decodeServer(id, s.Get(tableServers, id))
+		r, err := decodeRow(id, s.Get(tableServers, id))
 		if err != nil {
 			warnings = append(warnings, err.Error())
 			continue
 		}
-		db.rows[id] = &row{Server: server, written: server}
-		db.digest ^= server.digest()
-	}
-	for _, r := range slices.SortedFunc(maps.Values(db.rows), func(x, y *row) int {
-		return cmp.Or(x.StateSince.Compare(y.StateSince), strings.Compare(x.ID, y.ID))
-	}) {
-		db.addTombstone(r)
+		db.rows[id] = r
+		db.digest ^= r.digest()
 	}
+	db.restoreTombstones()
 	if value := s.Get(tableList, listKey); value != nil {
 		var err error
 		if db.list, err = decodeList(value); err != nil {
@@ -108,6 +99,19 @@
 	return db, warnings
 }
 
+// restoreTombstones puts the tombstones in the order of their rows' sequence numbers. Wall times count only among rows
+// that have none.
+func (db *DB) restoreTombstones() {
+	for _, r := range slices.SortedFunc(maps.Values(db.rows), func(x, y *row) int {
+		return cmp.Or(cmp.Compare(x.removalSeq, y.removalSeq), x.StateSince.Compare(y.StateSince), strings.Compare(x.ID, y.ID))
+	}) {
+		if r.State == Gone {
+			db.tombstones.Add(r.ID)
+			db.lastRemovalSeq = max(db.lastRemovalSeq, r.removalSeq)
+		}
+	}
+}
+
 // Servers returns all known servers including removed ones, sorted by ID.
 func (db *DB) Servers() []Server {
 	all := make([]Server, 0, len(db.rows))
@@ -153,7 +157,7 @@
 		if !o.FromDiscovery {
 			return // discovery has never listed it
 		}
-		if len(db.rows)-db.tombstoneCount >= db.settings.MaxServers {
+		if len(db.rows)-db.tombstones.Len() >= db.settings.MaxServers {
 			db.droppedRows++
 			return
 		}
@@ -181,11 +185,7 @@
 		r.LastServed = o.LastServed
 	}
 	db.digest ^= before.digest() ^ r.digest()
-	if r.State != Gone && r.tombstoneSeq > 0 {
-		r.tombstoneSeq = 0
-		db.tombstoneCount--
-	}
-	db.addTombstone(r)
+	db.updateTombstone(r)
 	urgent := o.FromDiscovery && r.State != Serving && (before.ID == "" || before.State != r.State)
 	if urgent || db.needsWrite(r) {
 		db.write(now, r, urgent)
@@ -221,28 +221,29 @@
 	delete(db.pending, r.ID)
 }
 
-// addTombstone counts a server as removed, if it is and has no tombstone yet.
-func (db *DB) addTombstone(r *row) {
-	if r.State != Gone || r.tombstoneSeq > 0 {
+// updateTombstone marks a server as removed if it is, and else removes the mark.
+func (db *DB) updateTombstone(r *row) {
+	if r.State != Gone {
+		db.tombstones.Delete(r.ID)
+		r.removalSeq = 0
 		return
 	}
-	db.lastTombstoneSeq++
-	r.tombstoneSeq = db.lastTombstoneSeq
-	db.tombstoneCount++
-	db.tombstones = append(db.tombstones, tombstone{r.ID, r.tombstoneSeq})
+	if db.tombstones.Contains(r.ID) {
+		return
+	}
+	db.lastRemovalSeq++
+	r.removalSeq = db.lastRemovalSeq
+	db.tombstones.Add(r.ID)
 }
 
 // evictTombstones forgets the oldest removals beyond the limit.
 func (db *DB) evictTombstones(now time.Duration) {
-	for db.tombstoneCount > db.settings.MaxTombstones {
-		oldest := db.tombstones[0]
-		db.tombstones = db.tombstones[1:]
-		if r := db.rows[oldest.id]; r != nil && r.tombstoneSeq == oldest.seq {
-			db.tombstoneCount--
-			delete(db.rows, oldest.id)
-			delete(db.pending, oldest.id)
-			db.store.Delete(now, tableServers, oldest.id, false)
-		}
+	for db.tombstones.Len() > db.settings.MaxTombstones {
+		oldest, _ := db.tombstones.Oldest()
+		db.tombstones.Delete(oldest)
+		delete(db.rows, oldest)
+		delete(db.pending, oldest)
+		db.store.Delete(now, tableServers, oldest, false)
 	}
 }
 
--- a/internal/servers/serverdb/db_test.go
+++ b/internal/servers/serverdb/db_test.go
@@ -422,18 +422,21 @@
 
 // Any bytes decode to a row or an error, and a decoded row is encoded to the same row.
 func FuzzRows(f *testing.F) {
-	s := fromDiscovery("a", Draining, time.Hour, noon).Server
-	f.Add(s.encode(nil))
+	r := row{Server: fromDiscovery("a", Draining, time.Hour, noon).Server}
+	f.Add(r.encode(nil))
+	f.Add(r.encode(nil)[:len(r.encode(nil))-1]) // an earlier version wrote no sequence number of the removal
+	r = row{Server: fromDiscovery("a", Gone, time.Hour, noon).Server, removalSeq: 300}
+	f.Add(r.encode(nil))
 	l := List{Generation: 9, Discovery: "d:1", Confirmed: noon, ServerRate: 2, ServingCount: 4}
 	f.Add(l.encode(nil))
 	f.Fuzz(func(t *testing.T, value []byte) {
-		if s, err := decodeServer("a", value); err == nil {
-			again, err := decodeServer("a", s.encode(nil))
-			if err != nil || again != s {
-				t.Fatalf("%+v, decoded again %+v (%v)", s, again, err)
+		if r, err := decodeRow("a", value); err == nil {
+			again, err := decodeRow("a", r.encode(nil))
+			if err != nil || *again != *r {
+				t.Fatalf("%+v, decoded again %+v (%v)", r, again, err)
 			}
 			// Additional fields of a later version are skipped.
-			if longer, err := decodeServer("a", append(s.encode(nil), 1, 2, 3)); err != nil || longer != s {
+			if longer, err := decodeRow("a", append(r.encode(nil), 1, 2, 3)); err != nil || *longer != *r {
 				t.Fatalf("with additional fields: %+v (%v)", longer, err)
 			}
 		}
--- a/internal/servers/serverdb/row.go
+++ b/internal/servers/serverdb/row.go
@@ -93,14 +93,15 @@
 }
 
 // encode appends the value of the row of a server.
-func (s *Server) encode(buffer []byte) []byte {
-	buffer = append(buffer, rowVersion, byte(s.State))
-	buffer = appendString(appendString(buffer, s.Address), s.Zone)
-	buffer = binary.AppendVarint(buffer, int64(s.Cell))
-	buffer = appendFloat(buffer, s.Weight)
-	buffer = binary.AppendVarint(buffer, s.Started.Milliseconds())
-	buffer = binary.AppendUvarint(buffer, toUnixMillis(s.StateSince))
-	return binary.AppendUvarint(buffer, toUnixMillis(s.LastServed))
+func (r *row) encode(buffer []byte) []byte {
+	buffer = append(buffer, rowVersion, byte(r.State))
+	buffer = appendString(appendString(buffer, r.Address), r.Zone)
+	buffer = binary.AppendVarint(buffer, int64(r.Cell))
+	buffer = appendFloat(buffer, r.Weight)
+	buffer = binary.AppendVarint(buffer, r.Started.Milliseconds())
+	buffer = binary.AppendUvarint(buffer, toUnixMillis(r.StateSince))
+	buffer = binary.AppendUvarint(buffer, toUnixMillis(r.LastServed))
+	return binary.AppendUvarint(buffer, r.removalSeq)
 }
 
 // decoder reads a value. Past its end, or after an invalid varint, it returns zero values and sets truncated.
@@ -187,24 +188,28 @@
 	return hash.Sum64()
 }
 
-// decodeServer decodes the value of the row of a server.
-func decodeServer(id string, value []byte) (Server, error) {
+// decodeRow decodes the value of the row of a server. Earlier versions wrote no removalSeq.
+func decodeRow(id string, value []byte) (*row, error) {
 	d := decoder{rest: value}
 	if v := d.byte(); v == 0 {
-		return Server{}, fmt.Errorf("the row of %s has no version", id)
+		return nil, fmt.Errorf("the row of %s has no version", id)
 	}
 	s := Server{ID: id, State: State(d.byte())}
 	s.Address, s.Zone = d.string(), d.string()
 	s.Cell, s.Weight = int(d.varint()), d.float()
 	s.Started = d.millis()
 	s.StateSince, s.LastServed = fromUnixMillis(d.uvarint()), fromUnixMillis(d.uvarint())
+	r := &row{Server: s, written: s}
+	if len(d.rest) > 0 {
+		r.removalSeq = d.uvarint()
+	}
 	if d.truncated {
-		return Server{}, truncatedError{id}
+		return nil, truncatedError{id}
 	}
 	if s.State > Gone {
-		return Server{}, fmt.Errorf("the row of %s has the unknown state %d", id, s.State)
+		return nil, fmt.Errorf("the row of %s has the unknown state %d", id, s.State)
 	}
-	return s, nil
+	return r, nil
 }
 
 // encode appends the value of the row of the list.
--- a/internal/servers/serverdb/tombstone_test.go
+++ b/internal/servers/serverdb/tombstone_test.go
@@ -25,8 +25,8 @@
 	if len(p.rows) != serverCount || len(p.pending) > serverCount || p.store.Len() != serverCount {
 		t.Errorf("%d rows, %d pending, %d in the store", len(p.rows), len(p.pending), p.store.Len())
 	}
-	if bound := 2*len(p.rows) + 64; len(p.tombstones) > bound {
-		t.Errorf("%d tombstones of %d rows, want at most %d", len(p.tombstones), len(p.rows), bound)
+	if bound := 2*len(p.rows) + 64; p.tombstones.Len() > bound {
+		t.Errorf("%d tombstones of %d rows, want at most %d", p.tombstones.Len(), len(p.rows), bound)
 	}
 }
 
