--- a/internal/servers/endpoints/growth_test.go
+++ b/internal/servers/endpoints/growth_test.go
@@ -31,8 +31,8 @@
 	}
 }
 
-// A server whose address belongs to a newer process, here that of server a, must not be listed again each time that it restarts, or that
-// its drain arrives in an answer that was cut off.
+// A server whose address belongs to a newer process, here that of server a, must not be listed again each time that
+// it restarts, or that its drain arrives in an answer that was cut off.
 func TestSupersededServersAreListedOnce(t *testing.T) {
 	for name, between := range map[string]func(v *View, now time.Duration, old *Entry){
 		"it restarts": func(_ *View, _ time.Duration, old *Entry) { old.Started += time.Millisecond },
