Scale restarts and older lists of the soak with the limit of tombstones

All three rates now follow the limit, so the check is stricter in the long run and the same in the short one.

--- a/internal/servers/serverdb/soak_test.go
+++ b/internal/servers/serverdb/soak_test.go
@@ -224,16 +224,17 @@
 		for range rng.IntN(3) {
 			g.change(n.now)
 		}
+		// The backup is old, and restarts are rare, compared with the time in which maxTombstones servers are removed.
 		switch kind := rng.IntN(1000); {
-		case kind == 0 || g.backup == nil:
+		case g.backup == nil || rng.IntN(16*maxTombstones) == 0:
 			g.backup = g.answer(0, true, false)
-		case kind < 5 && n.since > g.backup.Generation:
+		case rng.IntN(4*maxTombstones) == 0 && n.since > g.backup.Generation:
 			n.takeList(g.backup, true)
 			n.now += time.Second
 			n.takeList(g.answer(0, true, false), false)
-		case kind < 10:
+		case rng.IntN(4*maxTombstones) == 0:
 			n.restart()
-		case kind < 30: // an answer that was cut off
+		case kind < 20: // an answer that was cut off
 			partial := slices.DeleteFunc(g.answer(n.since, false, false).Entries, func(e endpoints.Entry) bool {
 				return e.Health == decide.Healthy
 			})
@@ -243,7 +244,7 @@
 			n.publish(n.view.ApplyPartial(n.now, partial))
 			n.save()
 		default:
-			n.takeList(g.answer(n.since, n.since == 0 || kind < 80, kind > 950), false)
+			n.takeList(g.answer(n.since, n.since == 0 || kind < 70, kind > 950), false)
 		}
 	}
 	return n
