--- a/internal/servers/serverdb/soak_test.go
+++ b/internal/servers/serverdb/soak_test.go
@@ -23,6 +23,7 @@
 // registry is a discovery service whose servers come and go. A backup of it answers at times in its place.
 type registry struct {
 	rng        *rand.Rand
+	busyShare  int // one of this many changes may concern any server, the others a busy one
 	generation uint64
 	servers    [soakServers]endpoints.Entry // removed ones too; no ID: never listed
 	changedAt  [soakServers]uint64          // generation of the last change
@@ -32,7 +33,7 @@
 // change lets one server crash, drain or return, under its old name or a new one.
 func (g *registry) change(now time.Duration) {
 	i := g.rng.IntN(soakServers)
-	if g.rng.IntN(4) > 0 { // a quarter of the servers makes most of the changes
+	if g.rng.IntN(g.busyShare) > 0 { // a quarter of the servers makes most of the changes
 		i /= 4
 	}
 	e := &g.servers[i]
@@ -215,7 +216,8 @@
 // soak runs a node for a while beside a registry.
 func soak(t testing.TB, seed uint64, maxTombstones int, length time.Duration) *soakNode {
 	rng := rand.New(rand.NewPCG(seed, 3))
-	g, n := &registry{rng: rng}, newSoakNode(t, endpoints.Settings{MaxTombstones: maxTombstones})
+	g := &registry{rng: rng, busyShare: maxTombstones / 16}
+	n := newSoakNode(t, endpoints.Settings{MaxTombstones: maxTombstones})
 	for n.now < length {
 		n.now += time.Duration(500+rng.IntN(5000)) * time.Millisecond
 		if at, ok := n.view.NextRelease(); ok && at <= n.now {
@@ -224,7 +226,8 @@
 		for range rng.IntN(3) {
 			g.change(n.now)
 		}
-		// The backup is old, and restarts are rare, compared with the time in which maxTombstones servers are removed.
+		// The backup is old, restarts are rare, and the servers that aren't busy are stable, compared with the time in
+		// which servers are removed maxTombstones times.
 		switch kind := rng.IntN(1000); {
 		case g.backup == nil || rng.IntN(16*maxTombstones) == 0:
 			g.backup = g.answer(0, true, false)
