Queue only the last change of a server that one list changes twice

What callers saw: of two processes that a long list puts at one address, the older one, just taken out for the newer, could serve again.

Cause: the view publishes the older process and then withdraws it, in one update; ChangeQueue.Add took both and puts withdrawals first, so the older change came last. TestQueueKeepsTheLastChangeOfAServer failed: queued as serving, the view has draining.

Change: of several changes of a server only the last is queued.

--- a/internal/servers/endpoints/changequeue.go
+++ b/internal/servers/endpoints/changequeue.go
@@ -13,21 +13,21 @@
 // Len returns how many changes are queued.
 func (q *ChangeQueue) Len() int { return len(q.entries) - q.next }
 
-// Add queues changes, at most one of each server. They replace queued changes of the same servers.
+// Add queues changes. The last change of a server replaces the earlier ones.
 func (q *ChangeQueue) Add(changes []Entry) {
-	changed := make(map[string]struct{}, len(changes))
+	last := make(map[string]int, len(changes)) // by server: index of its last change
 	for i := range changes {
-		changed[changes[i].ID] = struct{}{}
+		last[changes[i].ID] = i
 	}
 	all := make([]Entry, 0, q.Len()+len(changes))
 	for _, notServing := range [...]bool{true, false} {
 		for _, e := range q.entries[q.next:] {
-			if _, replaced := changed[e.ID]; !replaced && (e.Health != decide.Healthy) == notServing {
+			if _, replaced := last[e.ID]; !replaced && (e.Health != decide.Healthy) == notServing {
 				all = append(all, e)
 			}
 		}
-		for _, e := range changes {
-			if (e.Health != decide.Healthy) == notServing {
+		for i, e := range changes {
+			if last[e.ID] == i && (e.Health != decide.Healthy) == notServing {
 				all = append(all, e)
 			}
 		}
--- a/internal/servers/endpoints/changequeue_test.go
+++ b/internal/servers/endpoints/changequeue_test.go
@@ -49,3 +49,17 @@
 		}
 	})
 }
+// Of two servers at one address in a long list, the queue must not publish the older process after its withdrawal.
+func TestQueueKeepsTheLastChangeOfAServer(t *testing.T) {
+	v := New(Settings{})
+	older, newer := entry("older", serving, second), entry("newer", serving, 2*second)
+	newer.Address = older.Address
+	u := v.Apply(3*second, fullList(1, older, newer))
+	var q ChangeQueue
+	q.Add(u.Changes)
+	for _, e := range q.Take(len(u.Changes)) {
+		if e.Health != v.Health(e.ID) {
+			t.Errorf("%s: queued as %v, the view returns %v", e.ID, e.Health, v.Health(e.ID))
+		}
+	}
+}
