Keep one timer for the release of servers that are held back

What was seen: up to 124 timers for 20 servers in 100,000 lists (TestReleaseTimersAreBounded, red before); each that fired made another.

Cause: scheduleRelease added a timer when a hold ended before the one that was scheduled, and left that one in the heap.

Change: the scheduled timer is removed first.

Measured: the test passes, at most 20 timers.

--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"container/heap"
+	"slices"
 	"time"
 
 	"curlewring/decide"
@@ -127,8 +129,9 @@
 	if !ok || l.releaseAt > l.now && l.releaseAt <= at {
 		return
 	}
+	l.cancelRelease()
 	l.releaseAt = at
-	l.at(at, timer{run: func() {
+	l.at(at, timer{release: true, run: func() {
 		l.releaseAt = 0
 		if due := l.view.ReleaseDue(l.now); len(due) > 0 {
 			l.saveList(nil, due)
@@ -138,6 +141,13 @@
 	}})
 }
 
+// cancelRelease removes the timer of the next release, if there is one.
+func (l *loop) cancelRelease() {
+	if i := slices.IndexFunc(l.timers, func(t timer) bool { return t.release }); i >= 0 {
+		heap.Remove(&l.timers, i)
+	}
+}
+
 // maxLoggedAnomalies bounds the log lines about one list.
 const maxLoggedAnomalies = 4
 
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -476,6 +476,7 @@
 	token   uint64
 	overdue *pendingRequest
 	sweep   bool
+	release bool   // the timer of scheduleRelease, of which there is one at most
 	run     func() // any other call; takes precedence
 }
 
