Count ordered sets in the soak of servers that come and go

The soak counts slices and maps of the view and the DB by reflection; their lists of removed, held and superseded servers are ordered sets now, which it would pass over. It counts the elements of these, with the same bound.

--- a/internal/servers/serverdb/soak_test.go
+++ b/internal/servers/serverdb/soak_test.go
@@ -11,6 +11,7 @@
 
 	"curlewring/decide"
 	"curlewring/internal/servers/endpoints"
+	"curlewring/internal/servers/orderedset"
 )
 
 // soakServers is how many names the servers of a soak have, which is fewer than any limit of tombstones here. A name
@@ -198,6 +199,9 @@
 	for _, value := range []reflect.Value{reflect.ValueOf(n.view).Elem(), reflect.ValueOf(n.db.DB).Elem()} {
 		for i := range value.NumField() {
 			field, name := value.Field(i), value.Type().Name()+"."+value.Type().Field(i).Name
+			if field.Type() == reflect.TypeFor[orderedset.Set]() {
+				field = field.FieldByName("elements")
+			}
 			isList := field.Kind() == reflect.Slice && field.Type().Elem().Kind() != reflect.Uint8
 			if !isList && field.Kind() != reflect.Map {
 				continue
