--- a/internal/servers/endpoints/changequeue_test.go
+++ b/internal/servers/endpoints/changequeue_test.go
@@ -49,6 +49,7 @@
 		}
 	})
 }
+
 // Of two servers at one address in a long list, the queue must not publish the older process after its withdrawal.
 func TestQueueKeepsTheLastChangeOfAServer(t *testing.T) {
 	v := New(Settings{})
