Delay flapping servers also if an older list names them in between

What was seen: a server that drains at generation g, is named as serving by list g-1 and then by list g+1 was published at once each time, 20 of 20 times; without list g-1 the third return waits 2 s, and later ones up to 30 s.

Cause: list g-1 starts a hold until a newer list, and the newer list that ended it published the server without a look at its count of returns (TestFlappingWithOlderLists, red before: delays of 0 s only).

Change: a return is counted first, and the delay of a flapping server also applies where a newer list ends a hold. Both together last MaxDelay at most.

Measured: the test passes with the delays of TestFlapping (0, 0, 2, 4, 8, 16, 30, 30 s); the package passes with -race and 3,000 orders for each property.

--- a/internal/servers/endpoints/held_test.go
+++ b/internal/servers/endpoints/held_test.go
@@ -32,3 +32,31 @@
 	}
 	assertEqual(t, "superseded, partial answers", v.superseded.Len(), 1)
 }
+
+// A server that comes and goes must not skip its delay because an older list names it before each return.
+func TestFlappingWithOlderLists(t *testing.T) {
+	v, now := fiveServerView(), second
+	var delays []time.Duration
+	for i := range uint64(20) {
+		generation := 12 + 2*i
+		now += 100 * time.Millisecond
+		v.Apply(now, deltaList(generation, entry("a", draining, second)))
+		v.Apply(now, deltaList(generation-1, entry("a", serving, second)))
+		v.Apply(now, deltaList(generation+1, entry("a", serving, second)))
+		delay := time.Duration(0)
+		if v.Health("a") != serving {
+			at, _ := v.NextRelease()
+			delay, now = at-now, at
+			v.ReleaseDue(now)
+		}
+		delays = append(delays, delay)
+	}
+	assertEqual(t, "first delays", delays[:8], "[0s 0s 2s 4s 8s 16s 30s 30s]")
+	assertEqual(t, "last delay", delays[19], "30s")
+	// The two delays together are no longer than MaxDelay.
+	v.Apply(now, deltaList(60, entry("a", draining, second)))
+	v.Apply(now, deltaList(59, entry("a", serving, second)))
+	v.Apply(now+20*second, deltaList(61, entry("a", serving, second)))
+	at, _ := v.NextRelease()
+	assertEqual(t, "both delays", at-now, Settings{}.MaxDelay())
+}
--- a/internal/servers/endpoints/view.go
+++ b/internal/servers/endpoints/view.go
@@ -438,26 +438,26 @@
 		return // a newer process has its address; restoreSuperseded checks whether it still does
 	}
 	if r.heldUntil > 0 {
-		if newer || r.endsWithNewerList && info.aboveHighest {
+		switch {
+		case newer:
 			v.endHold(r)
 			v.admit(r)
+		case r.endsWithNewerList && info.aboveHighest:
+			v.endHold(r)
+			v.admitUnlessFlapping(info, r)
 		}
 		return
 	}
 	r.recordTransition(info.receivedAt, v.settings.FlapWindow)
+	r.returnCount++
 	switch {
 	case newer:
 		v.admit(r)
 	case info.olderThan(r.departureGeneration):
 		v.holdReturn(info, r)
-	case r.returnCount >= v.settings.FlapThreshold:
-		delay := min(v.settings.FlapInitialDelay<<min(r.returnCount-v.settings.FlapThreshold, 16), v.settings.FlapMaxDelay)
-		v.reportAnomaly(Flapping, e.ID, fmt.Sprintf("%d returns, held for %v", r.returnCount, delay))
-		v.hold(r, info.receivedAt+delay)
 	default:
-		v.admit(r)
+		v.admitUnlessFlapping(info, r)
 	}
-	r.returnCount++
 }
 
 // addServing adds a server that is new to this view and reported as serving.
@@ -491,6 +491,19 @@
 	r.endsWithNewerList = true
 }
 
+// admitUnlessFlapping publishes a server whose return is counted already, or holds it back if it returns too often. A
+// hold that ended just before counts towards MaxDelay.
+func (v *View) admitUnlessFlapping(info *listInfo, r *serverRecord) {
+	excess := r.returnCount - v.settings.FlapThreshold
+	if excess <= 0 {
+		v.admit(r)
+		return
+	}
+	delay := min(v.settings.FlapInitialDelay<<min(excess-1, 16), v.settings.FlapMaxDelay)
+	v.reportAnomaly(Flapping, r.ID, fmt.Sprintf("%d returns, held for %v", r.returnCount, delay))
+	v.hold(r, min(info.receivedAt+delay, r.lastTransition+v.settings.MaxDelay()))
+}
+
 // hold holds back a server until a time.
 func (v *View) hold(r *serverRecord, until time.Duration) {
 	r.heldUntil = until
