Believe a discovery restored from a backup after RollbackDelay

What was seen: after 5,200 removals and a discovery restored from a backup, each of 2,400 servers that were added in the next hour under new names with an unknown start time was held back for 30 s, and so was each one if the clock of a single forgotten server was a year ahead. It would go on until the generations exceed those from before the backup.

Cause: each list below the generation of the forgotten removals counted as outdated for good (TestServersOfARestoredDiscovery, red before: 100 of 100 new servers held, the last one more than an hour after the first such list).

Change: the servers without a record are held in the lists of the first RollbackDelay only; a list that is not older starts it anew. Two registries that answer in turns, and an older copy that answers for a short time, are treated as before. Servers that have a record are not affected.

--- a/internal/servers/endpoints/held_test.go
+++ b/internal/servers/endpoints/held_test.go
@@ -1,8 +1,11 @@
 package endpoints
 
 import (
+	"fmt"
 	"testing"
 	"time"
+
+	"curlewring/decide"
 )
 
 // The lists of held and of superseded servers are bounded by the servers, not by the reports about them.
@@ -60,3 +63,24 @@
 	at, _ := v.NextRelease()
 	assertEqual(t, "both delays", at-now, Settings{}.MaxDelay())
 }
+
+// A discovery that goes on for hours below the generation of forgotten removals must not have each new server held back
+// whose start time is unknown or early. It is believed once RollbackDelay has passed with its lists alone.
+func TestServersOfARestoredDiscovery(t *testing.T) {
+	v := New(Settings{MaxTombstones: 2})
+	v.Apply(second, fullList(1000, namedServers("old", 3, serving)...))
+	v.Apply(second, deltaList(1001, namedServers("old", 3, removed)...))
+	apply := func(now time.Duration, generation uint64, id string) decide.Health {
+		v.ReleaseDue(now)
+		v.Apply(now, deltaList(generation, entry(id, serving, 0)))
+		return v.Health(id)
+	}
+	assertEqual(t, "in the first older list", apply(10*second, 500, "a"), removed)
+	assertEqual(t, "before RollbackDelay is over", apply(39*second, 501, "b"), removed)
+	for i := range uint64(100) {
+		now := 40*second + time.Duration(i)*time.Minute
+		assertEqual(t, "later", apply(now, 502+i, fmt.Sprint("c", i)), serving)
+	}
+	assertEqual(t, "of a newer list", apply(2*time.Hour, 1002, "d"), serving)
+	assertEqual(t, "older than that list", apply(2*time.Hour, 602, "e"), removed)
+}
--- a/internal/servers/endpoints/view.go
+++ b/internal/servers/endpoints/view.go
@@ -80,6 +80,7 @@
 type forgottenRemovals struct {
 	generation uint64        // highest departureGeneration
 	started    time.Duration // latest start time
+	heldUntil  time.Duration // end of RollbackDelay from the first of the older lists; 0: the newest list is not older
 }
 
 // add extends the description by a server.
@@ -87,9 +88,19 @@
 	f.generation, f.started = max(f.generation, r.departureGeneration), max(f.started, r.Started)
 }
 
-// mayInclude reports whether a server without a record may have been removed after the list of that generation.
-func (f *forgottenRemovals) mayInclude(e *Entry, generation uint64) bool {
-	return generation < f.generation && e.Started <= f.started
+// recordList notes whether a list is older than the removals. Discovery may have been restored from a backup: if all its
+// lists are older, they are believed after rollbackDelay.
+func (f *forgottenRemovals) recordList(info *listInfo, rollbackDelay time.Duration) {
+	if info.generation >= f.generation {
+		f.heldUntil = 0
+	} else if f.heldUntil == 0 {
+		f.heldUntil = info.receivedAt + rollbackDelay
+	}
+}
+
+// mayInclude reports whether a server without a record may have been removed after the recorded list.
+func (f *forgottenRemovals) mayInclude(info *listInfo, e *Entry) bool {
+	return info.receivedAt < f.heldUntil && e.Started <= f.started
 }
 
 // listInfo describes the list whose entries are being processed.
@@ -207,6 +218,7 @@
 		}
 	}
 	lost := before - v.serving
+	v.forgotten.recordList(&info, v.settings.RollbackDelay)
 	for i := range entries {
 		if e := &entries[i]; e.Health == decide.Healthy {
 			v.applyServing(&info, e)
@@ -464,7 +476,7 @@
 func (v *View) addServing(info *listInfo, e *Entry) {
 	r := &serverRecord{Entry: *e, published: decide.Removed}
 	v.records[e.ID] = r
-	if v.forgotten.mayInclude(e, info.generation) {
+	if v.forgotten.mayInclude(info, e) {
 		v.holdReturn(info, r)
 		return
 	}
