Compare lists with the generation of a partial answer

What callers saw: a server that a partial answer of generation 15 reported as removed, at a node with list 10, was published as serving by lists 11 to 14 of an older copy of discovery, at once and also while list 10 had it held back.

Cause: the generation of a partial answer was dropped, and its removals counted as of the generation after the node's list; a list above the highest one ended the hold although it was older than the removal (TestOlderListsHoldRemovedServers with the generations of partial answers, and TestRemovalsAreNotForgotten, both red before).

Change: a partial answer passes its generation on, if that was received, and a newer list ends a hold only if it is not older than the removal.

Measured: both tests pass, with -race and 5,000 orders for each property; the packages endpoints and discovery pass.

--- a/internal/node/discovery/answer.go
+++ b/internal/node/discovery/answer.go
@@ -14,7 +14,8 @@
 // discovery service has written the whole answer, so all of it counts as delivered to this node,
 // even if the rest never arrives.
 type PartialError struct {
-	Unavailable []endpoints.Entry // the draining and removed servers in the part that arrived
+	Generation  uint64            // of the list; 0 if it was not in the part that arrived
+	Unavailable []endpoints.Entry // the draining and removed servers in that part
 	Err         error
 }
 
@@ -29,7 +30,7 @@
 func readList(r io.Reader) (*endpoints.List, error) {
 	d := listDecoder{json: json.NewDecoder(r)}
 	if err := d.decode(); err != nil {
-		return nil, &PartialError{Unavailable: d.unavailable(), Err: err}
+		return nil, &PartialError{Generation: d.result.Generation, Unavailable: d.unavailable(), Err: err}
 	}
 	return &d.result, nil
 }
--- a/internal/node/discovery/discovery.go
+++ b/internal/node/discovery/discovery.go
@@ -241,7 +241,7 @@
 	var partial *PartialError
 	switch {
 	case errors.As(err, &partial):
-		f.Reason = endpoints.PartialAnswer
+		f.Reason, f.Generation = endpoints.PartialAnswer, partial.Generation
 	case errors.As(err, &status):
 		f.Reason = endpoints.Overloaded
 	case took >= minOpenTime && isConnectionEnd(err):
--- a/internal/node/discovery/overload_test.go
+++ b/internal/node/discovery/overload_test.go
@@ -262,8 +262,9 @@
 					if u.List == nil || u.List.Generation != 4 || len(u.List.Entries) != 3 {
 						t.Errorf("reported %+v, want the list", u)
 					}
-				} else if u.Failure.Reason != endpoints.PartialAnswer || len(u.Unavailable) != 1 || u.Unavailable[0].ID != "a" {
-					t.Errorf("reported %+v, want a partial answer with the removed server a", u)
+				} else if u.Failure.Reason != endpoints.PartialAnswer || u.Failure.Generation != 4 ||
+					len(u.Unavailable) != 1 || u.Unavailable[0].ID != "a" {
+					t.Errorf("reported %+v, want a partial answer of generation 4 with the removed server a", u)
 				}
 				return
 			}
--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -107,7 +107,7 @@
 		m.ConfirmedUntil = l.confirmation.RecordFailure(l.now, f)
 	}
 	l.trace.noList(f, l.lastGeneration, m.ConfirmedUntil-l.now)
-	if unavailable := l.view.ApplyPartial(l.now, u.Unavailable); len(unavailable) > 0 {
+	if unavailable := l.view.ApplyPartial(l.now, f.Generation, u.Unavailable); len(unavailable) > 0 {
 		l.saveList(nil, unavailable)
 		l.applyChanges(unavailable, decide.ListLocal)
 	}
--- a/internal/servers/endpoints/confirmation.go
+++ b/internal/servers/endpoints/confirmation.go
@@ -48,9 +48,10 @@
 
 // CallFailure describes a call to discovery that brought no list.
 type CallFailure struct {
-	Reason   FailureReason
-	Took     time.Duration
-	PollWait time.Duration // how long the call let discovery wait for a change
+	Reason     FailureReason
+	Took       time.Duration
+	PollWait   time.Duration // how long the call let discovery wait for a change
+	Generation uint64        // with PartialAnswer: of the list; 0 if it was not received
 }
 
 // Confirmation tracks until when the list of a node counts as confirmed: until then the node counts as notified of no
--- a/internal/servers/endpoints/held_test.go
+++ b/internal/servers/endpoints/held_test.go
@@ -30,7 +30,7 @@
 	v.Apply(second, deltaList(11, newest))
 	for i := range 1000 { // superseded, drained by a partial answer and superseded again
 		now := time.Duration(1+i) * time.Minute
-		v.ApplyPartial(now, []Entry{entry("a", draining, second)})
+		v.ApplyPartial(now, 0, []Entry{entry("a", draining, second)})
 		v.Apply(now, deltaList(uint64(12+i), entry("a", serving, second)))
 	}
 	assertEqual(t, "superseded, partial answers", v.superseded.Len(), 1)
--- a/internal/servers/endpoints/tombstone_test.go
+++ b/internal/servers/endpoints/tombstone_test.go
@@ -22,7 +22,7 @@
 // GoString formats the report, with its generation as drawn, for the sequence that rapid prints.
 func (r report) GoString() string {
 	if r.Partial {
-		return fmt.Sprint("\n\tpartial answer after ", r.Pause, ": ", describeChanges(r.Entries))
+		return fmt.Sprint("\n\tpartial answer ", r.Generation, " after ", r.Pause, ": ", describeChanges(r.Entries))
 	}
 	return fmt.Sprint("\n\tlist ", r.Generation, " whole ", r.Whole, " after ", r.Pause, ": ", describeChanges(r.Entries))
 }
@@ -131,8 +131,8 @@
 					unavailable = append(unavailable, e)
 				}
 			}
-			v.ApplyPartial(now, unavailable)
-			m.record(now, v.generation+1, false, unavailable) // newer than the list that the view has
+			v.ApplyPartial(now, r.Generation, unavailable)
+			m.record(now, max(v.generation+1, r.Generation), false, unavailable) // newer than the list that the view has
 		} else {
 			v.Apply(now, &List{Generation: generation, Whole: r.Whole, Entries: r.Entries})
 			m.record(now, generation, r.Whole, r.Entries)
@@ -167,7 +167,7 @@
 			v.Apply(second, fullList(10, r, x))
 			v.Apply(2*second, deltaList(11, gone))
 			for range 4096 {
-				v.ApplyPartial(3*second, []Entry{entry("x", removed, second)})
+				v.ApplyPartial(3*second, 0, []Entry{entry("x", removed, second)})
 			}
 		}, fullList(10, r)},
 		"a list lies between the older list and the removal": {func(v *View) {
@@ -177,8 +177,14 @@
 		}, fullList(9, r, x)},
 		"removed by a partial answer, then the list before it": {func(v *View) {
 			v.Apply(second, fullList(10, r, x))
-			v.ApplyPartial(2*second, []Entry{gone})
+			v.ApplyPartial(2*second, 0, []Entry{gone})
 		}, fullList(10, r, x)},
+		"removed by a partial answer, then lists between that and the list before it": {func(v *View) {
+			v.Apply(second, fullList(10, r, x))
+			v.ApplyPartial(2*second, 15, []Entry{gone})
+			v.Apply(3*second, fullList(10, r, x))
+			v.Apply(3*second, fullList(13, r, x))
+		}, fullList(14, r, x)},
 		"removed before a restart": {func(v *View) { v.Restore(fullList(10, gone, x)) }, fullList(8, r, x)},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/servers/endpoints/view.go
+++ b/internal/servers/endpoints/view.go
@@ -237,11 +237,11 @@
 	return Update{v.changes, v.anomalies, refetch}
 }
 
-// ApplyPartial processes the drains and removals of a list that was cut off and returns the changes. The view's
-// generation stays as it is, so the next list repeats them.
-func (v *View) ApplyPartial(now time.Duration, entries []Entry) []Entry {
+// ApplyPartial processes the drains and removals of a list that was cut off and returns the changes. The generation is
+// 0 if it did not arrive. The view's generation stays as it is, so the next list repeats them.
+func (v *View) ApplyPartial(now time.Duration, generation uint64, entries []Entry) []Entry {
 	v.changes = v.changes[:0]
-	info := listInfo{receivedAt: now, generation: v.generation + 1}
+	info := listInfo{receivedAt: now, generation: max(v.generation+1, generation)}
 	for i := range entries {
 		v.applyNotServing(&info, &entries[i])
 	}
@@ -454,7 +454,7 @@
 		case newer:
 			v.endHold(r)
 			v.admit(r)
-		case r.endsWithNewerList && info.aboveHighest:
+		case r.endsWithNewerList && info.aboveHighest && !info.olderThan(r.departureGeneration):
 			v.endHold(r)
 			v.admitUnlessFlapping(info, r)
 		}
