Ask for the whole list after a restart if servers were held back

What callers saw: a node that stopped while its view held back servers of the newest list never used them after its next start, until they changed or a whole list came: the stored rows still said that they drain or are removed, the list counted as consistent, and the node asked only for the changes since that list, which do not name them again.

Cause: only published changes are written to the rows, but the list was written as if its rows were complete (TestHeldServersAreNotLostByARestart, red before: the first call after the restart was since=8).

Change: the list is marked as incomplete while servers are held back, which makes the stored digest differ from that of the rows.

Measured: the test passes, also with -race; the package serverdb passes, with a case for the mark.

--- a/internal/node/saved_state_test.go
+++ b/internal/node/saved_state_test.go
@@ -110,6 +110,28 @@
 	}
 }
 
+// A node that stops while the view holds back servers of the newest list must request the whole list at its next start:
+// the changes since that list do not name them again.
+func TestHeldServersAreNotLostByARestart(t *testing.T) {
+	t.Parallel()
+	a, held := NewServer(t, RespondWith("a")), NewServer(t, RespondWith("held"))
+	d := NewDiscoveryServer(t)
+	folder := filepath.Join(t.TempDir(), "state")
+	n := startWithState(t, d.Listener.Addr().String(), folder)
+	d.SendList(t, ServerList(20, true, a.Addr(), held.Addr()))
+	d.SendList(t, ServerList(21, false, a.Addr(), held.Addr()+" DRAINING"))
+	d.SendList(t, ServerList(8, true, a.Addr(), held.Addr()))
+	WaitFor(t, "the older list is processed", func() bool { return n.generation() == 8 })
+	n.cancel()
+	<-n.ended
+	d = NewDiscoveryServer(t)
+	startWithState(t, d.Listener.Addr().String(), folder)
+	WaitFor(t, "the node calls discovery", func() bool { return d.Calls() > 0 })
+	if q := d.Query(0); q != "" {
+		t.Errorf("with a held server, called with %q", q)
+	}
+}
+
 // Most addresses of a week-old list refuse connections or belong to other services by now.
 // Safe requests must find the one server that is left. Unsafe requests must wait until a
 // server has answered, and reach nothing else. The control shows that with a young list,
--- a/internal/servers/serverdb/db.go
+++ b/internal/servers/serverdb/db.go
@@ -255,7 +255,7 @@
 	}
 	old := db.list
 	db.list = l
-	if l.Generation != old.Generation || l.Discovery != old.Discovery ||
+	if l.Generation != old.Generation || l.Discovery != old.Discovery || l.Incomplete != old.Incomplete ||
 		l.Confirmed.Sub(old.Confirmed) >= db.settings.ConfirmInterval || l.Confirmed.Before(old.Confirmed) {
 		db.listPending = true
 	} else {
@@ -271,6 +271,9 @@
 	}
 	db.tokens--
 	db.list.Digest, db.list.Consistent = db.digest, true
+	if db.list.Incomplete {
+		db.list.Digest, db.list.Consistent = ^db.digest, false
+	}
 	db.buffer = db.list.encode(db.buffer[:0])
 	if _, err := db.store.Put(now, tableList, listKey, db.buffer, false); err != nil {
 		db.droppedRows++
--- a/internal/servers/serverdb/db_test.go
+++ b/internal/servers/serverdb/db_test.go
@@ -136,6 +136,9 @@
 	for name, change := range map[string]func(process){
 		"a newer row":   func(p process) { p.Record(0, []Observation{fromDiscovery("b", Draining, 1, noon)}) },
 		"a missing row": func(p process) { p.store.Delete(0, tableServers, "a", true) },
+		"a held server": func(p process) {
+			p.RecordConfirmation(0, List{Generation: 7, Confirmed: noon, Incomplete: true})
+		},
 	} {
 		fs := newMemoryFS()
 		p, _ := open(fs, Settings{}, 0)
--- a/internal/servers/serverdb/row.go
+++ b/internal/servers/serverdb/row.go
@@ -55,6 +55,7 @@
 	ServingCount int       `json:"Servers"` // number of serving servers at that time
 	Digest       uint64    // of all servers as listed
 	Consistent   bool      `json:"Sound"` // the rows of the servers belong to this generation; not written
+	Incomplete   bool      `json:"-"`     // servers of this generation are held back: the written list is not consistent
 }
 
 // rowVersion is the first byte of each value. Later versions append fields, and readers skip unknown ones. A version
