Keep forgotten servers held that an older list drains in between

What was seen: of a removed server that has no record any more, lists 500, 501 and 502 after the removal in 1001 said that it serves, drains and serves; it was published at the third one, without RollbackDelay.

Cause: the record that the first of them added did not know the generation of the removal, only that of the drain (TestForgottenServerDrainsWhileHeld, red before).

Change: the record takes the generation of the forgotten removals.

--- a/internal/servers/endpoints/tombstone_test.go
+++ b/internal/servers/endpoints/tombstone_test.go
@@ -213,6 +213,18 @@
 	assertEqual(t, "serving after one release and the whole list before it", v.ServingCount(), 0)
 }
 
+// A forgotten server that an older list names stays held, also if the next older list drains it in between.
+func TestForgottenServerDrainsWhileHeld(t *testing.T) {
+	v := New(Settings{MaxTombstones: 2})
+	v.Apply(second, fullList(1000, namedServers("old", 3, serving)...))
+	v.Apply(second, deltaList(1001, namedServers("old", 3, removed)...))
+	for i, h := range []decide.Health{serving, draining, serving} {
+		v.Apply(2*second, deltaList(uint64(500+i), entry("old-0000", h, second)))
+	}
+	assertEqual(t, "health", v.Health("old-0000"), draining)
+	assertEqual(t, "held", v.held.Len(), 1)
+}
+
 // A server that comes and goes must not lose its count of returns because others are reported as removed.
 func TestReturnsAreCountedOverEviction(t *testing.T) {
 	v, generation := New(Settings{MaxTombstones: 8}), uint64(10)
--- a/internal/servers/endpoints/view.go
+++ b/internal/servers/endpoints/view.go
@@ -477,6 +477,7 @@
 	r := &serverRecord{Entry: *e, published: decide.Removed}
 	v.records[e.ID] = r
 	if v.forgotten.mayInclude(info, e) {
+		r.departureGeneration = v.forgotten.generation
 		v.holdReturn(info, r)
 		return
 	}
