Remember the generation of removals over a restart

What callers saw: a server was removed in generation 20, an older copy of discovery answered with list 8, and the node restarted; then list 9 published the server at once, without RollbackDelay. The same happened where a removal reached the disk and the list that brought it, or a partial answer, did not: the list from before it published the server.

Cause: the stored list has the generation of the last answer only, and Restore took it for that of all removals (three cases of TestRemovalsAreNotForgotten and TestHighestGenerationSurvivesARestart, all red before).

Change: the row of the list ends with the highest generation of any list or partial answer, and departures that are newer than the stored list belong to the next generation at least. Earlier versions skip the field; rows without it are read as before.

--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -24,7 +24,7 @@
 	if known != nil {
 		stored = known
 	}
-	l.view.Restore(stored)
+	l.view.Restore(stored, stored.Generation)
 	l.discovery.SetServerCount(l.view.ServingCount())
 	l.updateServers(stored, decide.ListStored)
 	if !l.settings.MustSubscribe {
--- a/internal/node/saved_state.go
+++ b/internal/node/saved_state.go
@@ -120,7 +120,7 @@
 			serving = append(serving, stalelist.Server{ID: e.ID, Rack: fmt.Sprint(e.Zone, "/", e.Cell)})
 		}
 	}
-	l.view.Restore(all)
+	l.view.Restore(all, saved.restored.List.DeparturesUpTo())
 	age, known := saved.restored.List.Age(l.clock.WallTime(l.now))
 	if !known && len(saved.restored.Servers) > 0 && saved.restored.List.Confirmed.IsZero() {
 		age, known = 0, true // the configuration's list alone is trusted, as without saved state
@@ -229,8 +229,8 @@
 	if m != nil {
 		_, held := l.view.NextRelease()
 		saved.writer.ConfirmList(serverdb.List{
-			Generation: m.Generation, Discovery: saved.discoveryAddress, Confirmed: wall, ServerRate: l.measuredServerRate(),
-			ServingCount: l.view.ServingCount(), Incomplete: held,
+			Generation: m.Generation, HighestGeneration: l.view.HighestGeneration(), Discovery: saved.discoveryAddress,
+			Confirmed: wall, ServerRate: l.measuredServerRate(), ServingCount: l.view.ServingCount(), Incomplete: held,
 		})
 	}
 }
--- a/internal/servers/endpoints/tombstone_test.go
+++ b/internal/servers/endpoints/tombstone_test.go
@@ -185,7 +185,21 @@
 			v.Apply(3*second, fullList(10, r, x))
 			v.Apply(3*second, fullList(13, r, x))
 		}, fullList(14, r, x)},
-		"removed before a restart": {func(v *View) { v.Restore(fullList(10, gone, x)) }, fullList(8, r, x)},
+		"removed before a restart":                   {func(v *View) { v.Restore(fullList(10, gone, x), 10) }, fullList(8, r, x)},
+		"removed before an older list and a restart": {func(v *View) { v.Restore(fullList(8, gone, x), 20) }, fullList(9, r, x)},
+		"removed before an older list and two restarts": {func(v *View) {
+			first := New(Settings{})
+			first.Restore(fullList(8, gone, x), 20)
+			first.Apply(second, fullList(8, x))
+			v.Restore(fullList(8, gone, x), first.HighestGeneration())
+		}, fullList(9, r, x)},
+		"removed by a partial answer before an older list and a restart": {func(v *View) {
+			first := New(Settings{})
+			first.Apply(second, fullList(10, r, x))
+			first.ApplyPartial(second, 0, []Entry{gone})
+			first.Apply(second, fullList(8, x))
+			v.Restore(fullList(8, gone, x), first.HighestGeneration())
+		}, fullList(10, r, x)},
 	} {
 		t.Run(name, func(t *testing.T) {
 			v := New(Settings{})
--- a/internal/servers/endpoints/view.go
+++ b/internal/servers/endpoints/view.go
@@ -66,7 +66,8 @@
 	addressOwners     map[string]string // by address: ID of the server that is published as serving there
 	serving           int               // number of servers published as serving
 	generation        uint64            // of the newest list
-	highestGeneration uint64            // highest of any list
+	highestGeneration uint64            // highest of any list since Restore
+	departuresUpTo    uint64            // highest generation of drains and removals in partial answers and before Restore
 	hasList           bool
 	held              orderedset.Set // IDs with heldUntil set
 	superseded        orderedset.Set // IDs with supersededBy set
@@ -155,8 +156,9 @@
 	return &View{settings: settings.withDefaults(), records: map[string]*serverRecord{}, addressOwners: map[string]string{}}
 }
 
-// Restore loads a list from before the node started. All its entries count as published.
-func (v *View) Restore(l *List) {
+// Restore loads a list from before the node started. All its entries count as published. Its drains and removals may
+// have been reported by lists up to the generation departures, which can be above that of the list.
+func (v *View) Restore(l *List, departures uint64) {
 	for i := range l.Entries {
 		e := &l.Entries[i]
 		r := &serverRecord{Entry: *e, published: e.Health}
@@ -172,7 +174,7 @@
 			v.addressOwners[e.Address] = e.ID
 			continue
 		}
-		r.departureGeneration = l.Generation
+		r.departureGeneration = departures
 		if e.Health == decide.Removed {
 			v.addTombstone(r)
 		}
@@ -181,12 +183,16 @@
 		for _, r := range v.records {
 			v.forgotten.add(r)
 		}
-		v.forgotten.generation = l.Generation
+		v.forgotten.generation = departures
 	}
 	v.generation, v.highestGeneration = l.Generation, l.Generation
+	v.departuresUpTo = max(v.departuresUpTo, departures)
 	v.hasList = l.Generation > 0
 }
 
+// HighestGeneration returns the highest generation of any list or partial answer, including those from before Restore.
+func (v *View) HighestGeneration() uint64 { return max(v.highestGeneration, v.departuresUpTo) }
+
 // Serving returns how many servers are published as serving.
 func (v *View) ServingCount() int { return v.serving }
 
@@ -244,6 +250,7 @@
 	info := listInfo{receivedAt: now, generation: max(v.generation+1, generation)}
 	for i := range entries {
 		v.applyNotServing(&info, &entries[i])
+		v.departuresUpTo = max(v.departuresUpTo, info.generation)
 	}
 	return v.changes
 }
--- a/internal/servers/serverdb/db.go
+++ b/internal/servers/serverdb/db.go
@@ -141,6 +141,16 @@
 	return max(0, age), true
 }
 
+// DeparturesUpTo returns the generation up to which the drains and removals in the rows may have been reported. Rows
+// that are newer than the list belong at least to the next generation.
+func (l *List) DeparturesUpTo() uint64 {
+	highest := max(l.Generation, l.HighestGeneration)
+	if l.Consistent || highest == 0 {
+		return highest
+	}
+	return highest + 1
+}
+
 // Record stores what was observed since the last call. Drains and removals that discovery reported are written
 // urgently.
 func (db *DB) Record(now time.Duration, observations []Observation) {
--- a/internal/servers/serverdb/db_test.go
+++ b/internal/servers/serverdb/db_test.go
@@ -432,6 +432,7 @@
 	f.Add(r.encode(nil))
 	l := List{Generation: 9, Discovery: "d:1", Confirmed: noon, ServerRate: 2, ServingCount: 4}
 	f.Add(l.encode(nil))
+	f.Add(l.encode(nil)[:len(l.encode(nil))-1]) // an earlier version wrote no highest generation
 	f.Fuzz(func(t *testing.T, value []byte) {
 		if r, err := decodeRow("a", value); err == nil {
 			again, err := decodeRow("a", r.encode(nil))
--- a/internal/servers/serverdb/row.go
+++ b/internal/servers/serverdb/row.go
@@ -48,14 +48,15 @@
 
 // List is what is known of the list as a whole. Its JSON is printed by curlewctl recall show, as that of Server is.
 type List struct {
-	Generation   uint64
-	Discovery    string    // address
-	Confirmed    time.Time // wall time of the last answer of discovery, at the resolution of Settings.ConfirmInterval
-	ServerRate   float64   `json:"Rate"`    // answers per second of one server to this node; 0: unknown
-	ServingCount int       `json:"Servers"` // number of serving servers at that time
-	Digest       uint64    // of all servers as listed
-	Consistent   bool      `json:"Sound"` // the rows of the servers belong to this generation; not written
-	Incomplete   bool      `json:"-"`     // servers of this generation are held back: the written list is not consistent
+	Generation        uint64
+	HighestGeneration uint64    `json:"-"` // of all lists and partial answers, which the removals may belong to; 0: Generation
+	Discovery         string    // address
+	Confirmed         time.Time // wall time of the last answer of discovery, at the resolution of Settings.ConfirmInterval
+	ServerRate        float64   `json:"Rate"`    // answers per second of one server to this node; 0: unknown
+	ServingCount      int       `json:"Servers"` // number of serving servers at that time
+	Digest            uint64    // of all servers as listed
+	Consistent        bool      `json:"Sound"` // the rows of the servers belong to this generation; not written
+	Incomplete        bool      `json:"-"`     // servers of this generation are held back: it is written as not consistent
 }
 
 // rowVersion is the first byte of each value. Later versions append fields, and readers skip unknown ones. A version
@@ -221,10 +222,11 @@
 	buffer = binary.AppendUvarint(buffer, toUnixMillis(l.Confirmed))
 	buffer = appendFloat(buffer, l.ServerRate)
 	buffer = binary.AppendUvarint(buffer, uint64(max(0, l.ServingCount)))
-	return binary.LittleEndian.AppendUint64(buffer, l.Digest)
+	buffer = binary.LittleEndian.AppendUint64(buffer, l.Digest)
+	return binary.AppendUvarint(buffer, l.HighestGeneration)
 }
 
-// decodeList decodes the value of the row of the list.
+// decodeList decodes the value of the row of the list. Earlier versions wrote no HighestGeneration.
 func decodeList(value []byte) (List, error) {
 	d := decoder{rest: value}
 	if d.byte() == 0 {
@@ -233,6 +235,9 @@
 	l := List{Generation: d.uvarint(), Discovery: d.string(), Confirmed: fromUnixMillis(d.uvarint()), ServerRate: d.float()}
 	servingCount := d.uvarint()
 	digest := d.take(8)
+	if len(d.rest) > 0 {
+		l.HighestGeneration = d.uvarint()
+	}
 	if d.truncated {
 		return List{}, truncatedError{"the list"}
 	}
--- a/internal/servers/serverdb/tombstone_test.go
+++ b/internal/servers/serverdb/tombstone_test.go
@@ -52,3 +52,29 @@
 		})
 	}
 }
+
+// After a restart the generation of removals must be known, also if an older list came after them or their rows are
+// newer than that of the list.
+func TestHighestGenerationSurvivesARestart(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(process)
+		want   uint64
+	}{
+		"older list since": {func(p process) {
+			p.RecordConfirmation(0, List{Generation: 8, HighestGeneration: 20, Confirmed: noon})
+		}, 20},
+		"newer rows": {func(p process) { p.Record(0, []Observation{fromDiscovery("a", Gone, 1, noon)}) }, 8},
+	} {
+		fs := newMemoryFS()
+		p, _ := open(fs, Settings{}, 0)
+		p.Record(0, []Observation{fromDiscovery("a", Serving, 1, noon)})
+		p.RecordConfirmation(0, List{Generation: 7, Confirmed: noon})
+		c.change(p)
+		p.commit(t, 0)
+		p, _ = open(fs, Settings{}, 0)
+		l := p.List()
+		if got := l.DeparturesUpTo(); got != c.want {
+			t.Errorf("%s: generation %d, want %d", name, got, c.want)
+		}
+	}
+}
