Keep the drains of a partial answer when adopting a handed list

Cause: Restore replaces the records of the view, and the restored servers were taken from the handed list alone (TestHandedListKeepsDrains, red before: the draining server could receive new attempts).

Change: before a handed list is adopted, what partial answers have reported as draining or removed is carried over, except for newer processes. Departures that Restore loads count as of the generation of the partial answer.

--- a/internal/node/handed_list.go
+++ b/internal/node/handed_list.go
@@ -61,6 +61,7 @@
 	if l.lastGeneration > 0 || len(saved.restored.Servers) > 0 || len(h.list.Entries) == 0 {
 		return // there is a list from discovery or of this node's own
 	}
+	l.view.KeepDepartures(h.list.Entries) // a partial answer may be newer
 	wall := l.clock.WallTime(l.now)
 	restored := persist.Restored{Node: saved.restored.Node, List: serverdb.List{
 		Generation: h.list.Generation, Discovery: h.about.Discovery, Confirmed: wall.Add(-h.about.Age), ServingCount: len(h.list.Entries), Consistent: true,
--- a/internal/node/saved_state_test.go
+++ b/internal/node/saved_state_test.go
@@ -15,9 +15,11 @@
 	"testing"
 	"time"
 
+	"curlewring/internal/fleet/bootstrap"
 	"curlewring/internal/node/disk"
 	. "curlewring/internal/node/nodetest"
 	"curlewring/internal/node/persist"
+	"curlewring/internal/servers/endpoints"
 	"curlewring/internal/servers/serverdb"
 	"curlewring/internal/store"
 )
@@ -410,3 +412,30 @@
 		}
 	}
 }
+
+// A drain in a partial answer must hold against a list of another node that is older: the server must get nothing.
+func TestHandedListKeepsDrains(t *testing.T) {
+	t.Parallel()
+	a, drained := NewServer(t, RespondWith("a")), NewServer(t, RespondWith("drained"))
+	d := NewDiscoveryServer(t)
+	n := startWithState(t, d.Listener.Addr().String(), filepath.Join(t.TempDir(), "state"))
+	whole := ServerList(12, true, a.Addr(), drained.Addr()+" DRAINING")
+	d.SendList(t, whole[:len(whole)-1])
+	WaitFor(t, "the next call", func() bool { return d.Calls() > 1 })
+	list, err := endpoints.Parse([]byte(ServerList(10, true, a.Addr(), drained.Addr())))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.loop.post(listHandedOver{list, bootstrap.List{Generation: 10}})
+	sendable := func(id string) (yes bool) {
+		n.loop.backgroundStep(func(time.Duration) (time.Duration, bool) {
+			yes = n.loop.servers[id] != nil && n.loop.servers[id].sendable
+			return 0, false
+		})(0)
+		return yes
+	}
+	WaitFor(t, "the list is adopted", func() bool { return sendable("s0") })
+	if sendable("s1") {
+		t.Error("the draining server may receive new attempts")
+	}
+}
--- a/internal/servers/endpoints/view.go
+++ b/internal/servers/endpoints/view.go
@@ -174,7 +174,7 @@
 			v.addressOwners[e.Address] = e.ID
 			continue
 		}
-		r.departureGeneration = departures
+		r.departureGeneration = max(departures, v.departuresUpTo)
 		if e.Health == decide.Removed {
 			v.addTombstone(r)
 		}
@@ -190,6 +190,17 @@
 	v.hasList = l.Generation > 0
 }
 
+// KeepDepartures changes the entries of a list from before a partial answer: what the answer reported as draining or
+// removed stays so, except for newer processes.
+func (v *View) KeepDepartures(entries []Entry) {
+	for i := range entries {
+		e := &entries[i]
+		if r := v.records[e.ID]; r != nil && r.Health > e.Health && r.Started >= e.Started {
+			e.Health = r.Health
+		}
+	}
+}
+
 // HighestGeneration returns the highest generation of any list or partial answer, including those from before Restore.
 func (v *View) HighestGeneration() uint64 { return max(v.highestGeneration, v.departuresUpTo) }
 
