Keep the drains of a partial answer over results of the stale list

Cause: the table of the stale list isn't told of partial answers, and its changes were passed on as serving (TestPartialDrainHoldsAgainstStaleList, red before).

Change: an offered server has the health of the view if it isn't serving.

--- a/internal/node/saved_state.go
+++ b/internal/node/saved_state.go
@@ -143,6 +143,8 @@
 		switch {
 		case c.State == stalelist.Withdrawn:
 			e.Health = decide.Removed
+		case l.view.Health(c.ID) != decide.Healthy: // a partial answer has reported it as draining or removed
+			e.Health = l.view.Health(c.ID)
 		case saved.staleList.Fresh():
 		default:
 			// When the process at this address started is unknown: it counts as started now. Once
--- a/internal/node/saved_state_test.go
+++ b/internal/node/saved_state_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"curlewring/decide"
 	"curlewring/internal/fleet/bootstrap"
 	"curlewring/internal/node/disk"
 	. "curlewring/internal/node/nodetest"
@@ -427,15 +428,38 @@
 		t.Fatal(err)
 	}
 	n.loop.post(listHandedOver{list, bootstrap.List{Generation: 10}})
-	sendable := func(id string) (yes bool) {
-		n.loop.backgroundStep(func(time.Duration) (time.Duration, bool) {
-			yes = n.loop.servers[id] != nil && n.loop.servers[id].sendable
-			return 0, false
-		})(0)
-		return yes
+	WaitFor(t, "the list is adopted", func() bool { return n.sendable("s0") })
+	if n.sendable("s1") {
+		t.Error("the draining server may receive new attempts")
 	}
-	WaitFor(t, "the list is adopted", func() bool { return sendable("s0") })
-	if sendable("s1") {
+}
+
+// A server of the stale list that a partial answer reports as draining must get nothing, also if an attempt that it has
+// already got shows that it is alive.
+func TestPartialDrainHoldsAgainstStaleList(t *testing.T) {
+	t.Parallel()
+	a, drained := NewServer(t, RespondWith("a")), NewServer(t, RespondWith("drained"))
+	d := NewDiscoveryServer(t)
+	n := startWithState(t, d.Listener.Addr().String(), writeSavedState(t, 7*24*time.Hour,
+		savedServer("s0", a.Addr(), serverdb.Serving), savedServer("s1", drained.Addr(), serverdb.Serving)))
+	WaitFor(t, "both are offered", func() bool { return n.sendable("s0") && n.sendable("s1") })
+	whole := ServerList(12, true, a.Addr(), drained.Addr()+" DRAINING")
+	d.SendList(t, whole[:len(whole)-1])
+	WaitFor(t, "the drain is applied", func() bool { return !n.sendable("s1") })
+	n.loop.backgroundStep(func(time.Duration) (time.Duration, bool) {
+		n.loop.recordSavedResult("s1", decide.Served, time.Millisecond)
+		return 0, false
+	})(0)
+	if n.sendable("s1") {
 		t.Error("the draining server may receive new attempts")
 	}
 }
+
+// sendable reports whether a server may receive new attempts.
+func (n *testNode) sendable(id string) (yes bool) {
+	n.loop.backgroundStep(func(time.Duration) (time.Duration, bool) {
+		yes = n.loop.servers[id] != nil && n.loop.servers[id].sendable
+		return 0, false
+	})(0)
+	return yes
+}
