--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -26,7 +26,7 @@
 	if known != nil {
 		stored = known
 	}
-	l.view.Restore(stored)
+	l.view.Restore(stored, stored.Generation)
 	l.discovery.SetServerCount(l.view.ServingCount())
 	l.updateServers(stored, decide.ListStored)
 	if !l.settings.MustSubscribe {
@@ -109,7 +109,7 @@
 		m.ConfirmedUntil = l.confirmation.RecordFailure(l.now, f)
 	}
 	l.trace.noList(f, l.lastGeneration, m.ConfirmedUntil-l.now)
-	if unavailable := l.view.ApplyPartial(l.now, u.Unavailable); len(unavailable) > 0 {
+	if unavailable := l.view.ApplyPartial(l.now, f.Generation, u.Unavailable); len(unavailable) > 0 {
 		l.saveList(nil, unavailable)
 		l.applyChanges(unavailable, decide.ListLocal)
 	}
--- a/internal/node/saved_state.go
+++ b/internal/node/saved_state.go
@@ -120,7 +120,7 @@
 			serving = append(serving, stalelist.Server{ID: e.ID, Rack: fmt.Sprint(e.Zone, "/", e.Cell)})
 		}
 	}
-	l.view.Restore(all)
+	l.view.Restore(all, saved.restored.List.DeparturesUpTo())
 	age, known := saved.restored.List.Age(l.clock.WallTime(l.now))
 	if !known && len(saved.restored.Servers) > 0 && saved.restored.List.Confirmed.IsZero() {
 		age, known = 0, true // the configuration's list alone is trusted, as without saved state
@@ -143,6 +143,8 @@
 		switch {
 		case c.State == stalelist.Withdrawn:
 			e.Health = decide.Removed
+		case l.view.Health(c.ID) != decide.Healthy: // a partial answer has reported it as draining or removed
+			e.Health = l.view.Health(c.ID)
 		case saved.staleList.Fresh():
 		default:
 			// When the process at this address started is unknown: it counts as started now. Once
@@ -227,8 +229,10 @@
 		saved.writer.RecordServer(serverdb.Observation{Server: toRow(&changes[i], wall), FromDiscovery: true})
 	}
 	if m != nil {
+		_, held := l.view.NextRelease()
 		saved.writer.ConfirmList(serverdb.List{
-			Generation: m.Generation, Discovery: saved.discoveryAddress, Confirmed: wall, ServerRate: l.measuredServerRate(), ServingCount: l.view.ServingCount(),
+			Generation: m.Generation, HighestGeneration: l.view.HighestGeneration(), Discovery: saved.discoveryAddress,
+			Confirmed: wall, ServerRate: l.measuredServerRate(), ServingCount: l.view.ServingCount(), Incomplete: held,
 		})
 	}
 }
--- a/internal/node/saved_state_test.go
+++ b/internal/node/saved_state_test.go
@@ -15,9 +15,12 @@
 	"testing"
 	"time"
 
+	"curlewring/decide"
+	"curlewring/internal/fleet/bootstrap"
 	"curlewring/internal/node/disk"
 	. "curlewring/internal/node/nodetest"
 	"curlewring/internal/node/persist"
+	"curlewring/internal/servers/endpoints"
 	"curlewring/internal/servers/serverdb"
 	"curlewring/internal/store"
 )
@@ -110,6 +113,28 @@
 	}
 }
 
+// A node that stops while the view holds back servers of the newest list must request the whole list at its next start:
+// the changes since that list do not name them again.
+func TestHeldServersAreNotLostByARestart(t *testing.T) {
+	t.Parallel()
+	a, held := NewServer(t, RespondWith("a")), NewServer(t, RespondWith("held"))
+	d := NewDiscoveryServer(t)
+	folder := filepath.Join(t.TempDir(), "state")
+	n := startWithState(t, d.Listener.Addr().String(), folder)
+	d.SendList(t, ServerList(20, true, a.Addr(), held.Addr()))
+	d.SendList(t, ServerList(21, false, a.Addr(), held.Addr()+" DRAINING"))
+	d.SendList(t, ServerList(8, true, a.Addr(), held.Addr()))
+	WaitFor(t, "the older list is processed", func() bool { return n.generation() == 8 })
+	n.cancel()
+	<-n.ended
+	d = NewDiscoveryServer(t)
+	startWithState(t, d.Listener.Addr().String(), folder)
+	WaitFor(t, "the node calls discovery", func() bool { return d.Calls() > 0 })
+	if q := d.Query(0); q != "" {
+		t.Errorf("with a held server, called with %q", q)
+	}
+}
+
 // Most addresses of a week-old list refuse connections or belong to other services by now.
 // Safe requests must find the one server that is left. Unsafe requests must wait until a
 // server has answered, and reach nothing else. The control shows that with a young list,
@@ -388,3 +413,53 @@
 		}
 	}
 }
+
+// A drain in a partial answer must hold against a list of another node that is older: the server must get nothing.
+func TestHandedListKeepsDrains(t *testing.T) {
+	t.Parallel()
+	a, drained := NewServer(t, RespondWith("a")), NewServer(t, RespondWith("drained"))
+	d := NewDiscoveryServer(t)
+	n := startWithState(t, d.Listener.Addr().String(), filepath.Join(t.TempDir(), "state"))
+	whole := ServerList(12, true, a.Addr(), drained.Addr()+" DRAINING")
+	d.SendList(t, whole[:len(whole)-1])
+	WaitFor(t, "the next call", func() bool { return d.Calls() > 1 })
+	list, err := endpoints.Parse([]byte(ServerList(10, true, a.Addr(), drained.Addr())))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.loop.post(listHandedOver{list, bootstrap.List{Generation: 10}})
+	WaitFor(t, "the list is adopted", func() bool { return n.sendable("s0") })
+	if n.sendable("s1") {
+		t.Error("the draining server may receive new attempts")
+	}
+}
+
+// A server of the stale list that a partial answer reports as draining must get nothing, also if an attempt that it has
+// already got shows that it is alive.
+func TestPartialDrainHoldsAgainstStaleList(t *testing.T) {
+	t.Parallel()
+	a, drained := NewServer(t, RespondWith("a")), NewServer(t, RespondWith("drained"))
+	d := NewDiscoveryServer(t)
+	n := startWithState(t, d.Listener.Addr().String(), writeSavedState(t, 7*24*time.Hour,
+		savedServer("s0", a.Addr(), serverdb.Serving), savedServer("s1", drained.Addr(), serverdb.Serving)))
+	WaitFor(t, "both are offered", func() bool { return n.sendable("s0") && n.sendable("s1") })
+	whole := ServerList(12, true, a.Addr(), drained.Addr()+" DRAINING")
+	d.SendList(t, whole[:len(whole)-1])
+	WaitFor(t, "the drain is applied", func() bool { return !n.sendable("s1") })
+	n.loop.backgroundStep(func(time.Duration) (time.Duration, bool) {
+		n.loop.recordSavedResult("s1", decide.Served, time.Millisecond)
+		return 0, false
+	})(0)
+	if n.sendable("s1") {
+		t.Error("the draining server may receive new attempts")
+	}
+}
+
+// sendable reports whether a server may receive new attempts.
+func (n *testNode) sendable(id string) (yes bool) {
+	n.loop.backgroundStep(func(time.Duration) (time.Duration, bool) {
+		yes = n.loop.servers[id] != nil && n.loop.servers[id].sendable
+		return 0, false
+	})(0)
+	return yes
+}
--- a/internal/servers/endpoints/view.go
+++ b/internal/servers/endpoints/view.go
@@ -66,7 +66,8 @@
 	addressOwners     map[string]string // by address: ID of the server that is published as serving there
 	serving           int               // number of servers published as serving
 	generation        uint64            // of the newest list
-	highestGeneration uint64            // highest of any list
+	highestGeneration uint64            // highest of any list since Restore
+	departuresUpTo    uint64            // highest generation of drains and removals in partial answers and before Restore
 	hasList           bool
 	held              orderedset.Set // IDs with heldUntil set
 	superseded        orderedset.Set // IDs with supersededBy set
@@ -80,6 +81,7 @@
 type forgottenRemovals struct {
 	generation uint64        // highest departureGeneration
 	started    time.Duration // latest start time
+	heldUntil  time.Duration // end of RollbackDelay from the first of the older lists; 0: the newest list is not older
 }
 
 // add extends the description by a server.
@@ -87,9 +89,19 @@
 	f.generation, f.started = max(f.generation, r.departureGeneration), max(f.started, r.Started)
 }
 
-// mayInclude reports whether a server without a record may have been removed after the list of that generation.
-func (f *forgottenRemovals) mayInclude(e *Entry, generation uint64) bool {
-	return generation < f.generation && e.Started <= f.started
+// recordList notes whether a list is older than the removals. Discovery may have been restored from a backup: if all its
+// lists are older, they are believed after rollbackDelay.
+func (f *forgottenRemovals) recordList(info *listInfo, rollbackDelay time.Duration) {
+	if info.generation >= f.generation {
+		f.heldUntil = 0
+	} else if f.heldUntil == 0 {
+		f.heldUntil = info.receivedAt + rollbackDelay
+	}
+}
+
+// mayInclude reports whether a server without a record may have been removed after the recorded list.
+func (f *forgottenRemovals) mayInclude(info *listInfo, e *Entry) bool {
+	return info.receivedAt < f.heldUntil && e.Started <= f.started
 }
 
 // listInfo describes the list whose entries are being processed.
@@ -144,8 +156,9 @@
 	return &View{settings: settings.withDefaults(), records: map[string]*serverRecord{}, addressOwners: map[string]string{}}
 }
 
-// Restore loads a list from before the node started. All its entries count as published.
-func (v *View) Restore(l *List) {
+// Restore loads a list from before the node started. All its entries count as published. Its drains and removals may
+// have been reported by lists up to the generation departures, which can be above that of the list.
+func (v *View) Restore(l *List, departures uint64) {
 	for i := range l.Entries {
 		e := &l.Entries[i]
 		r := &serverRecord{Entry: *e, published: e.Health}
@@ -161,7 +174,7 @@
 			v.addressOwners[e.Address] = e.ID
 			continue
 		}
-		r.departureGeneration = l.Generation
+		r.departureGeneration = max(departures, v.departuresUpTo)
 		if e.Health == decide.Removed {
 			v.addTombstone(r)
 		}
@@ -170,12 +183,27 @@
 		for _, r := range v.records {
 			v.forgotten.add(r)
 		}
-		v.forgotten.generation = l.Generation
+		v.forgotten.generation = departures
 	}
 	v.generation, v.highestGeneration = l.Generation, l.Generation
+	v.departuresUpTo = max(v.departuresUpTo, departures)
 	v.hasList = l.Generation > 0
 }
 
+// KeepDepartures changes the entries of a list from before a partial answer: what the answer reported as draining or
+// removed stays so, except for newer processes.
+func (v *View) KeepDepartures(entries []Entry) {
+	for i := range entries {
+		e := &entries[i]
+		if r := v.records[e.ID]; r != nil && r.Health > e.Health && r.Started >= e.Started {
+			e.Health = r.Health
+		}
+	}
+}
+
+// HighestGeneration returns the highest generation of any list or partial answer, including those from before Restore.
+func (v *View) HighestGeneration() uint64 { return max(v.highestGeneration, v.departuresUpTo) }
+
 // Serving returns how many servers are published as serving.
 func (v *View) ServingCount() int { return v.serving }
 
@@ -207,6 +235,7 @@
 		}
 	}
 	lost := before - v.serving
+	v.forgotten.recordList(&info, v.settings.RollbackDelay)
 	for i := range entries {
 		if e := &entries[i]; e.Health == decide.Healthy {
 			v.applyServing(&info, e)
@@ -225,13 +254,14 @@
 	return Update{v.changes, v.anomalies, refetch}
 }
 
-// ApplyPartial processes the drains and removals of a list that was cut off and returns the changes. The view's
-// generation stays as it is, so the next list repeats them.
-func (v *View) ApplyPartial(now time.Duration, entries []Entry) []Entry {
+// ApplyPartial processes the drains and removals of a list that was cut off and returns the changes. The generation is
+// 0 if it did not arrive. The view's generation stays as it is, so the next list repeats them.
+func (v *View) ApplyPartial(now time.Duration, generation uint64, entries []Entry) []Entry {
 	v.changes = v.changes[:0]
-	info := listInfo{receivedAt: now, generation: v.generation + 1}
+	info := listInfo{receivedAt: now, generation: max(v.generation+1, generation)}
 	for i := range entries {
 		v.applyNotServing(&info, &entries[i])
+		v.departuresUpTo = max(v.departuresUpTo, info.generation)
 	}
 	return v.changes
 }
@@ -438,33 +468,34 @@
 		return // a newer process has its address; restoreSuperseded checks whether it still does
 	}
 	if r.heldUntil > 0 {
-		if newer || r.endsWithNewerList && info.aboveHighest {
+		switch {
+		case newer:
 			v.endHold(r)
 			v.admit(r)
+		case r.endsWithNewerList && info.aboveHighest && !info.olderThan(r.departureGeneration):
+			v.endHold(r)
+			v.admitUnlessFlapping(info, r)
 		}
 		return
 	}
 	r.recordTransition(info.receivedAt, v.settings.FlapWindow)
+	r.returnCount++
 	switch {
 	case newer:
 		v.admit(r)
 	case info.olderThan(r.departureGeneration):
 		v.holdReturn(info, r)
-	case r.returnCount >= v.settings.FlapThreshold:
-		delay := min(v.settings.FlapInitialDelay<<min(r.returnCount-v.settings.FlapThreshold, 16), v.settings.FlapMaxDelay)
-		v.reportAnomaly(Flapping, e.ID, fmt.Sprintf("%d returns, held for %v", r.returnCount, delay))
-		v.hold(r, info.receivedAt+delay)
 	default:
-		v.admit(r)
+		v.admitUnlessFlapping(info, r)
 	}
-	r.returnCount++
 }
 
 // addServing adds a server that is new to this view and reported as serving.
 func (v *View) addServing(info *listInfo, e *Entry) {
 	r := &serverRecord{Entry: *e, published: decide.Removed}
 	v.records[e.ID] = r
-	if v.forgotten.mayInclude(e, info.generation) {
+	if v.forgotten.mayInclude(info, e) {
+		r.departureGeneration = v.forgotten.generation
 		v.holdReturn(info, r)
 		return
 	}
@@ -491,6 +522,19 @@
 	r.endsWithNewerList = true
 }
 
+// admitUnlessFlapping publishes a server whose return is counted already, or holds it back if it returns too often. A
+// hold that ended just before counts towards MaxDelay.
+func (v *View) admitUnlessFlapping(info *listInfo, r *serverRecord) {
+	excess := r.returnCount - v.settings.FlapThreshold
+	if excess <= 0 {
+		v.admit(r)
+		return
+	}
+	delay := min(v.settings.FlapInitialDelay<<min(excess-1, 16), v.settings.FlapMaxDelay)
+	v.reportAnomaly(Flapping, r.ID, fmt.Sprintf("%d returns, held for %v", r.returnCount, delay))
+	v.hold(r, min(info.receivedAt+delay, r.lastTransition+v.settings.MaxDelay()))
+}
+
 // hold holds back a server until a time.
 func (v *View) hold(r *serverRecord, until time.Duration) {
 	r.heldUntil = until
--- a/internal/servers/serverdb/db.go
+++ b/internal/servers/serverdb/db.go
@@ -141,6 +141,16 @@
 	return max(0, age), true
 }
 
+// DeparturesUpTo returns the generation up to which the drains and removals in the rows may have been reported. Rows
+// that are newer than the list belong at least to the next generation.
+func (l *List) DeparturesUpTo() uint64 {
+	highest := max(l.Generation, l.HighestGeneration)
+	if l.Consistent || highest == 0 {
+		return highest
+	}
+	return highest + 1
+}
+
 // Record stores what was observed since the last call. Drains and removals that discovery reported are written
 // urgently.
 func (db *DB) Record(now time.Duration, observations []Observation) {
@@ -255,7 +265,7 @@
 	}
 	old := db.list
 	db.list = l
-	if l.Generation != old.Generation || l.Discovery != old.Discovery ||
+	if l.Generation != old.Generation || l.Discovery != old.Discovery || l.Incomplete != old.Incomplete ||
 		l.Confirmed.Sub(old.Confirmed) >= db.settings.ConfirmInterval || l.Confirmed.Before(old.Confirmed) {
 		db.listPending = true
 	} else {
@@ -271,6 +281,9 @@
 	}
 	db.tokens--
 	db.list.Digest, db.list.Consistent = db.digest, true
+	if db.list.Incomplete {
+		db.list.Digest, db.list.Consistent = ^db.digest, false
+	}
 	db.buffer = db.list.encode(db.buffer[:0])
 	if _, err := db.store.Put(now, tableList, listKey, db.buffer, false); err != nil {
 		db.droppedRows++
--- a/internal/servers/serverdb/db_test.go
+++ b/internal/servers/serverdb/db_test.go
@@ -136,6 +136,9 @@
 	for name, change := range map[string]func(process){
 		"a newer row":   func(p process) { p.Record(0, []Observation{fromDiscovery("b", Draining, 1, noon)}) },
 		"a missing row": func(p process) { p.store.Delete(0, tableServers, "a", true) },
+		"a held server": func(p process) {
+			p.RecordConfirmation(0, List{Generation: 7, Confirmed: noon, Incomplete: true})
+		},
 	} {
 		fs := newMemoryFS()
 		p, _ := open(fs, Settings{}, 0)
@@ -429,6 +432,7 @@
 	f.Add(r.encode(nil))
 	l := List{Generation: 9, Discovery: "d:1", Confirmed: noon, ServerRate: 2, ServingCount: 4}
 	f.Add(l.encode(nil))
+	f.Add(l.encode(nil)[:len(l.encode(nil))-1]) // an earlier version wrote no highest generation
 	f.Fuzz(func(t *testing.T, value []byte) {
 		if r, err := decodeRow("a", value); err == nil {
 			again, err := decodeRow("a", r.encode(nil))
