Follow the saved state of a node in the soak of servers that come and go

The soak restarts its node as loadSavedState does, which passes the highest generation and whether servers are held to the store now. Its bounds and checks are as they were.

--- a/internal/servers/serverdb/oldercopy_test.go
+++ b/internal/servers/serverdb/oldercopy_test.go
@@ -41,7 +41,7 @@
 		"a removal in an answer that was cut off": func(n *soakNode) {
 			gone := entry("a", decide.Removed)
 			n.told(&gone, 11, false)
-			n.publish(n.view.ApplyPartial(n.now, []endpoints.Entry{gone}))
+			n.publish(n.view.ApplyPartial(n.now, 0, []endpoints.Entry{gone}))
 			n.takeList(whole(10, "a", "b"), true)
 		},
 		"more removals than are remembered, and a restart": func(n *soakNode) {
--- a/internal/servers/serverdb/soak_test.go
+++ b/internal/servers/serverdb/soak_test.go
@@ -118,7 +118,8 @@
 		stored.Entries = append(stored.Entries, endpoints.Entry{Server: server, Address: s.Address})
 		n.known[s.ID] = true
 	}
-	n.view.Restore(stored)
+	saved := n.db.List()
+	n.view.Restore(stored, saved.DeparturesUpTo())
 	if n.since = stored.Generation; !n.db.List().Consistent {
 		n.since = 0
 	}
@@ -140,7 +141,10 @@
 	}
 	n.publish(n.view.Apply(n.now, l).Changes)
 	n.since = l.Generation
-	n.db.RecordConfirmation(n.now, List{Generation: l.Generation, Confirmed: noon.Add(n.now)})
+	_, held := n.view.NextRelease()
+	n.db.RecordConfirmation(n.now, List{
+		Generation: l.Generation, HighestGeneration: n.view.HighestGeneration(), Confirmed: noon.Add(n.now), Incomplete: held,
+	})
 	n.save()
 }
 
@@ -248,7 +252,7 @@
 			for i := range partial {
 				n.told(&partial[i], n.since, false)
 			}
-			n.publish(n.view.ApplyPartial(n.now, partial))
+			n.publish(n.view.ApplyPartial(n.now, 0, partial))
 			n.save()
 		default:
 			n.takeList(g.answer(n.since, n.since == 0 || kind < 70, kind > 950), false)
