Give the test of averaged open calls its own requests and a burst that matters

What was wrong: TestOpenCallsAreAveraged put calls 1000 to 1008 into the balancer by hand and took the ids of its requests from a counter that all tests of the package share. Where that counter stood at 949 to 1007, some of its requests were dropped as duplicates.

Before, with the counter set to 0, 990, 999 and 1003 in a trial:

and with the mean replaced by the current number of calls only the last check failed, not that of the burst.

Change: the calls of the burst take ids of the same counter, so none is there twice. Both bounds are as they were.

After, with the counter at 0, 949, 990, 999 and 1003: passes. With the mean replaced by the current number of calls:

With a mean that is never updated:

The package passes with -race and in three shuffled orders.

--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -237,20 +237,27 @@
 	}
 }
 
-// A short burst of calls at a node with little traffic is random and no reason to refuse the highest worth.
+// A short burst of calls at a node with little traffic is random and no reason to refuse the highest worth,
+// whereas as many calls all the time are.
 func TestOpenCallsAreAveraged(t *testing.T) {
+	const burst = 60
 	b := newFrontNode(1)
+	b.meanOpenCalls = burst
+	if p := b.admitProbability(9); p > 0 {
+		t.Fatalf("the highest worth is admitted with probability %v at a mean of %d calls", p, burst)
+	}
 	b.meanOpenCalls = 1
-	for i := range 9 {
-		b.calls[1000+uint64(i)] = &call{}
+	for range burst {
+		nextID++
+		b.calls[nextID] = &call{}
 	}
 	offer(b, time.Second, 1, 1)
 	if p := b.admitProbability(9); p < 1 {
-		t.Errorf("the highest worth is admitted with probability %v after a moment of 9 calls", p)
+		t.Errorf("the highest worth is admitted with probability %v after a moment of %d calls", p, burst)
 	}
 	offer(b, time.Second, 1, 50)
 	if p := b.admitProbability(9); p > 0 {
-		t.Errorf("the highest worth is admitted with probability %v with 9 or more calls all the time", p)
+		t.Errorf("the highest worth is admitted with probability %v with %d or more calls all the time", p, burst)
 	}
 }
 
