Give no two labs the same address and port for a node

Cause: Fleet.NewHost counted the loopback addresses of each fleet alone, from 127.(64 + process id mod 128).0.2 on, so all fleets of a process, and of two processes whose ids are equal mod 128, had the same addresses. The port of a node was bound and released by freeAddress and was then free for everybody until the node bound it, also for the next call of freeAddress or freePort; only newNodeLinks compared its ports, with each other.

Change: a fleet reserves blocks of 250 loopback addresses, each by a UDP socket bound to the block's address 0, which it keeps open until it is closed. The kernel thus keeps fleets of one process and of several apart, and a killed process leaves nothing behind. Ports of nodes come from a portPicker of the lab that picks no address twice; they are below the ephemeral range, so that no socket opened in the meantime is given one. NewHost returns an error if no block is free.

--- a/internal/rig/lab/lab.go
+++ b/internal/rig/lab/lab.go
@@ -69,6 +69,7 @@
 	dir                string
 	frontNodes         []*process // in front of the first tier
 	innerNodes         []*process // between tiers
+	ports              portPicker // for the nodes
 	specs              map[string]standin.NodeSpec
 	clients            []*standin.Client
 	idle               *idleConns               // nil if there are no idle connections
@@ -104,7 +105,11 @@
 		return nil, err
 	}
 	if o.Membership {
-		if l.links, err = newNodeLinks(o.Nodes, l.Fleet.NewHost(), o.Plan.Seed, !o.NoRelays); err != nil {
+		host, err := l.Fleet.NewHost()
+		if err != nil {
+			return nil, err
+		}
+		if l.links, err = newNodeLinks(o.Nodes, host, &l.ports, o.Plan.Seed, !o.NoRelays); err != nil {
 			return nil, err
 		}
 	}
@@ -170,10 +175,20 @@
 
 func (l *Lab) processes() []*process { return append(slices.Clone(l.frontNodes), l.innerNodes...) }
 
+// pickListenAddress returns a loopback address of its own for a node that is started later.
+func (l *Lab) pickListenAddress() (string, error) {
+	host, err := l.Fleet.NewHost()
+	if err != nil {
+		return "", err
+	}
+	address, err := l.ports.pick(host)
+	return address.String(), err
+}
+
 // prepareNode creates a node's files and its process without starting it.
 func (l *Lab) prepareNode(s standin.NodeSpec) (*process, error) {
 	var err error
-	if s.Listen, err = freeAddress(l.Fleet.NewHost()); err != nil {
+	if s.Listen, err = l.pickListenAddress(); err != nil {
 		return nil, fmt.Errorf("node %s: %w", s.Name, err)
 	}
 	if len(l.options.ForwardCommand) > 0 {
@@ -484,10 +499,10 @@
 	for _, c := range l.clients {
 		c.Close()
 	}
+	l.staleEndpoints.close()
+	l.links.close()
 	if l.Fleet != nil {
 		l.Fleet.Close()
 	}
-	l.staleEndpoints.close()
-	l.links.close()
 	os.RemoveAll(l.dir)
 }
--- a/internal/rig/lab/nodelinks.go
+++ b/internal/rig/lab/nodelinks.go
@@ -4,12 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"net/netip"
 	"os"
 	"path/filepath"
-	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -32,7 +29,8 @@
 // goroutines.
 const maxLinkedNodes = 32
 
-func newNodeLinks(nodes int, host string, seed uint64, relays bool) (_ *nodeLinks, err error) {
+// newNodeLinks picks the nodes' addresses at a host.
+func newNodeLinks(nodes int, host string, ports *portPicker, seed uint64, relays bool) (_ *nodeLinks, err error) {
 	if relays && nodes > maxLinkedNodes {
 		return nil, fmt.Errorf("%d nodes with relays between them, at most %d", nodes, maxLinkedNodes)
 	}
@@ -43,10 +41,7 @@
 		}
 	}()
 	for range nodes {
-		address, err := freePort(host)
-		for err == nil && slices.Contains(links.addresses, address) { // the port is free, but another node already has it
-			address, err = freePort(host)
-		}
+		address, err := ports.pick(host)
 		if err != nil {
 			return nil, err
 		}
@@ -70,30 +65,6 @@
 	return links, nil
 }
 
-// freePort returns an address whose port is free for both UDP and TCP. The port is below the ephemeral range,
-// so that no socket opened in the meantime is given it.
-func freePort(host string) (netip.AddrPort, error) {
-	ip, err := netip.ParseAddr(host)
-	if err != nil {
-		return netip.AddrPort{}, err
-	}
-	for try := 0; ; try++ {
-		address := netip.AddrPortFrom(ip, uint16(10_000+rand.IntN(20_000)))
-		udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(address))
-		if err == nil {
-			var tcp net.Listener
-			tcp, err = net.Listen("tcp", address.String())
-			udp.Close()
-			if err == nil {
-				return address, tcp.Close()
-			}
-		}
-		if try == 50 {
-			return netip.AddrPort{}, err
-		}
-	}
-}
-
 func (links *nodeLinks) close() {
 	if links == nil {
 		return
--- a/internal/rig/lab/process.go
+++ b/internal/rig/lab/process.go
@@ -3,10 +3,8 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -245,16 +243,3 @@
 		}
 	}
 }
-
-// freeAddress returns a loopback address with a free port.
-func freeAddress(host string) (string, error) {
-	// A child forked in the meantime would hold a copy of the listener, and so the port, until its exec.
-	syscall.ForkLock.RLock()
-	defer syscall.ForkLock.RUnlock()
-	listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
-	if err != nil {
-		return "", err
-	}
-	address := listener.Addr().String()
-	return address, errors.Join(listener.Close())
-}
--- a/internal/rig/lab/stalelist.go
+++ b/internal/rig/lab/stalelist.go
@@ -53,7 +53,11 @@
 // open opens listeners until there are n addresses.
 func (s *staleEndpoints) open(f *standin.Fleet, n int) error {
 	for i := len(s.addresses); i < n; i++ {
-		listener, err := net.Listen("tcp", net.JoinHostPort(f.NewHost(), "0"))
+		host, err := f.NewHost()
+		if err != nil {
+			return err
+		}
+		listener, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 		if err != nil {
 			return err
 		}
--- a/internal/rig/standin/fleet.go
+++ b/internal/rig/standin/fleet.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
-	"os"
-	"sync/atomic"
 	"time"
 
 	"curlewring/internal/rig/standin/judge"
@@ -22,7 +20,7 @@
 	Discovery        *Discovery
 	lowerDiscoveries []*Discovery
 
-	hostCount    atomic.Int64 // number of loopback addresses handed out
+	hosts        hostAllocator
 	delayMonitor *delayMonitor
 	callGraph    *callGraph
 }
@@ -57,7 +55,7 @@
 				slowdown: 1, rng: plan.newRand("box", tier*1000+i), callGraph: f.callGraph,
 			}
 			f.Judge.AddServer(s.ID, location)
-			if err := s.listen(f.NewHost()); err != nil {
+			if err := f.listen(s); err != nil {
 				f.Close()
 				return nil, err
 			}
@@ -72,15 +70,20 @@
 	return f, nil
 }
 
-// NewHost returns a loopback address that is unique within this fleet, up to 62,500 addresses. Fleets of the
-// same process share the addresses, as each counts on its own, so a port that was picked as free there is not
-// reserved: another fleet can bind it first. Outgoing connections use 127.0.0.1 only, so a listener that was
-// closed can bind the same port again.
-func (f *Fleet) NewHost() string {
-	number := f.hostCount.Add(1)
-	return fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, number/250%250, 1+number%250)
+// listen opens a new server's socket at an address of its own.
+func (f *Fleet) listen(s *Server) error {
+	host, err := f.NewHost()
+	if err != nil {
+		return fmt.Errorf("server %s: %w", s.ID, err)
+	}
+	return s.listen(host)
 }
 
+// NewHost returns a loopback address that no other fleet on this machine has until this one is closed, whether of
+// this process or of another. Outgoing connections use 127.0.0.1 only, so a listener that was closed can bind the
+// same port again.
+func (f *Fleet) NewHost() (string, error) { return f.hosts.next() }
+
 // Attach sets the node through which a server calls the next tier.
 func (f *Fleet) Attach(s *Server, node, address string) {
 	s.nextTier = NewClient(node, address, &f.Plan, f.Clock, f.Judge)
@@ -101,7 +104,7 @@
 	return longest, count
 }
 
-// Close stops the servers, the discovery services and the delay monitor.
+// Close stops the servers, the discovery services and the delay monitor, and gives up the fleet's addresses.
 func (f *Fleet) Close() {
 	for _, s := range append(append([]*Server{}, f.Servers...), f.LowerServers...) {
 		s.setFailure(healthy, 1)
@@ -115,6 +118,7 @@
 		d.Close()
 	}
 	f.delayMonitor.stop()
+	f.hosts.close()
 }
 
 // discoveryOf returns the discovery service of a tier.
@@ -202,7 +206,11 @@
 
 // OpenEndpoint opens an address of a tier's discovery service for a node.
 func (f *Fleet) OpenEndpoint(node string, tier int) (string, error) {
-	return f.discoveryOf(tier).OpenEndpoint(node, f.NewHost())
+	host, err := f.NewHost()
+	if err != nil {
+		return "", fmt.Errorf("discovery of %s: %w", node, err)
+	}
+	return f.discoveryOf(tier).OpenEndpoint(node, host)
 }
 
 // NodeConfig returns the configuration of a node in the platform's format.
