Check the number of offered servers of a stale list against its limits

What was wrong: TestTableInvariants said that the number of offered servers stays within its limits, but its check also asked for more tried and proven servers than the list has, which can't be as both are counted from the list.

Change: the number of untried servers is checked alone, and the number of offered ones against the node's share of those that are estimated to be there, after each call that offers one.

With the limit of untried servers taken out of Table.offerMore the old test passes, the new one fails:

table_test.go:255: 38 servers are tried, 0 are proven

With the limit of offered servers taken out the old test passes, the new one fails:

table_test.go:259: a server is offered beside 9 of 9 that may be, about 23 are there

With both in place it passes, also with 20,000 checks and with -race.

--- a/internal/servers/stalelist/table_test.go
+++ b/internal/servers/stalelist/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -200,9 +201,12 @@
 		}
 		reported := map[string]State{}
 		now := time.Duration(0)
+		offered := false // by the last call
 		apply := func(changes []Change) {
+			offered = false
 			for _, change := range changes {
 				reported[change.ID] = change.State
+				offered = offered || change.State == Trying
 				if !(change.GoneProbability >= 0 && change.GoneProbability <= 1) {
 					t.Fatalf("gone probability of %v", change.GoneProbability)
 				}
@@ -247,9 +251,13 @@
 			if gotTrying, gotProven, _ := table.Counts(); gotTrying != trying || gotProven != proven {
 				t.Fatalf("Counts returns %d and %d, want %d and %d", gotTrying, gotProven, trying, proven)
 			}
-			if !table.Fresh() && trying > max(8, proven) && trying+proven > n {
+			if !table.Fresh() && trying > max(8, proven) {
 				t.Fatalf("%d servers are tried, %d are proven", trying, proven)
 			}
+			share := int(math.Ceil(8 * float64(table.EstimatedAlive()) / float64(nodes)))
+			if offered && !table.Fresh() && trying+proven > max(8, share) {
+				t.Fatalf("a server is offered beside %d of %d that may be, about %d are there", trying+proven-1, max(8, share), table.EstimatedAlive())
+			}
 			if _, ok := table.NextRetry(); trying+proven == 0 && !ok {
 				t.Fatal("no server is tried and no retry is scheduled")
 			}
