Stop the supervisor in its backoff, not before it, in the test of that

What was wrong: TestStopDuringBackoff stopped the supervisor once the application had written that it starts. The application may still run then, and the stop ends it in place of a backoff. With the stop taken out of the backoff's select the old test still passed 16 of 20 runs.

Change: the test waits for the log line of the application's death, after which only the backoff looks at the context. The wait for the end is bounded, and the test also checks that the application was started once.

With the stop taken out of the backoff, the new test:

--- FAIL: TestStopDuringBackoff (20.01s) supervisor_test.go:156: timed out waiting until the stop ends the backoff

As it is, the new test passes 20 of 20 with -race.

--- a/internal/supervisor/supervisor_test.go
+++ b/internal/supervisor/supervisor_test.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -123,16 +124,40 @@
 	}
 }
 
-// A stop must take effect during the backoff before a restart.
+// lockedLog collects a log that is read while it is written.
+type lockedLog struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *lockedLog) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *lockedLog) contains(text string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return strings.Contains(l.text.String(), text)
+}
+
+// A stop must take effect during the backoff before a restart, and there must be no restart after it.
 func TestStopDuringBackoff(t *testing.T) {
 	config, file := testConfig(t, "dies")
 	config.InitialBackoff, config.MaxBackoff = time.Hour, time.Hour
+	var log lockedLog
+	config.Log = slog.New(slog.NewTextHandler(&log, nil))
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- Run(ctx, config) }()
-	waitFor(t, "it has started", func() bool { return strings.Contains(readFile(file), "start") })
+	waitFor(t, "it has died, so that only the backoff can see the stop", func() bool { return log.contains("the application died") })
 	stop()
+	waitFor(t, "the stop ends the backoff", func() bool { return len(ended) > 0 })
 	if err := <-ended; err != nil {
 		t.Error(err)
 	}
+	if got := readFile(file); got != "start 127.0.0.1:1\n" {
+		t.Errorf("starts: %q, want one", got)
+	}
 }
