Leave the caller's worths alone when a connection is assigned to a band

Where that had room, the number after it was overwritten at each call. Nobody lost anything by it so far: the node's worths have nothing behind them.

table_test.go:347: the number after the worths was 48 and is 0

Change: the highest worth is found by a loop, without a copy. The test also holds the bands of the lowest and the highest worth.

--- a/internal/conns/idleconns/table.go
+++ b/internal/conns/idleconns/table.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"math/bits"
-	"slices"
 	"time"
 )
 
@@ -195,7 +194,10 @@
 // WorthBand assigns a connection to one of a number of bands by the worth of its last
 // request. The highest band has the highest worth.
 func (t *Table) WorthBand(id int32, bands int) int {
-	worth, top := t.worth(t.entryAt(id)), slices.Max(append(t.settings.ClassWorths, 0))
+	worth, top := t.worth(t.entryAt(id)), 0.0
+	for _, w := range t.settings.ClassWorths {
+		top = max(top, w)
+	}
 	band := bands - 1
 	for ; band > 0 && worth < top; band-- { // each band starts at half the worth of the band above
 		top /= 2
--- a/internal/conns/idleconns/table_test.go
+++ b/internal/conns/idleconns/table_test.go
@@ -331,3 +331,19 @@
 		})
 	}
 }
+
+// The worths belong to the caller: what follows them in its array must stay, and bands must not depend on it.
+func TestWorthBandLeavesCallersWorths(t *testing.T) {
+	worths := []float64{1, 12, 48}
+	table := New(Settings{ClassWorths: worths[:2]}, nil, 0)
+	for class := range 2 {
+		table.Add(0, int32(class), 0, 0)
+		table.RequestReceived(int32(class), class)
+	}
+	if low, high := table.WorthBand(0, 4), table.WorthBand(1, 4); low != 0 || high != 3 {
+		t.Errorf("bands %d and %d of worths 1 and 12, want 0 and 3", low, high)
+	}
+	if worths[2] != 48 {
+		t.Errorf("the number after the worths was 48 and is %v", worths[2])
+	}
+}
