Give up the maintenance of a machine that drains for too long

What was wrong: Rules.DrainTimeout had a default and was read nowhere. A machine whose drain never ends held its place, so with the default limits no other machine of its site or rack was ever admitted, and nothing said why.

docs/design/maintenance.md doesn't name the timeout. Its states lead from draining to given up when "its time is over", and a wish must be going on or have ended; so the planner now cancels such a request, with the reason. The table rejects that once the machine is out of service. The table's time may be 10 s behind, which is added, so that a machine always has its whole timeout.

planner_test.go:42: drain of "b" began at 2m1s, given up at 0s; the other machine never drained: map["a":"1 machines of site s are out of service, the limit is 1"]

After: it is given up between the timeout and 20 s later, and the other one drains.

--- a/internal/fleet/maintenance/planner.go
+++ b/internal/fleet/maintenance/planner.go
@@ -180,6 +180,12 @@
 		}
 	case Admitted:
 		return step(Draining, "")
+	case Draining:
+		// The table's time, by which Since is counted, may be behind by one report.
+		if elapsed := t.now - r.Since; elapsed > p.rules.DrainTimeout+reportInterval {
+			return Command{Op: CancelRequest, Machine: r.Name, Reason: fmt.Sprintf("has drained for %v and may for %v: needs an operator's attention", elapsed.Round(time.Second), p.rules.DrainTimeout)}, true
+		}
+		p.waitReasons[r.Name] = "drains"
 	case OutOfService:
 		elapsed := t.now - r.Since
 		switch {
