Answer queued attempts of the simulation with their own latency

What was wrong: run.dispatch took the latency and the node's incarnation of the arrival that made a server begin, and used them for the responses to all attempts that it then took from the queue. In a fleet of two sites a request from the other site was answered after 0.2 ms in place of 5 ms, or the other way round. Attempts cut by the end of a server's process were always told after the latency within a site, so the cut could overtake a response.

Change: an attempt carries its latency and the incarnation of the process that sent it, from its start. newRun and processEvents are split from Run, so that a test can send single requests.

--- a/internal/rig/virtual/nodes.go
+++ b/internal/rig/virtual/nodes.go
@@ -46,32 +46,34 @@
 	if req == nil || srv == nil {
 		return
 	}
-	attempt := &serverAttempt{request: req, node: n, number: len(req.attempts), server: srv, sentAt: r.now, judgeID: -1, work: req.work}
-	req.attempts = append(req.attempts, attempt)
-	r.result.Attempts++
 	latency := r.config.SiteLatency
 	if srv.site != n.site {
 		latency = r.config.CrossSiteLatency
 	}
-	incarnation := n.incarnation
+	attempt := &serverAttempt{
+		request: req, node: n, number: len(req.attempts), server: srv, sentAt: r.now, latency: latency, nodeIncarnation: n.incarnation,
+		judgeID: -1, work: req.work,
+	}
+	req.attempts = append(req.attempts, attempt)
+	r.result.Attempts++
 	if srv.staleKind > 0 {
-		r.sendToStaleAddress(attempt, action.Wait, latency)
+		r.sendToStaleAddress(attempt, action.Wait)
 		return
 	}
 	cut := r.unreachable(n, srv)
 	if srv.down && !cut {
-		r.after(2*latency, func() { r.reportOutcome(attempt, incarnation, decide.ConnectFailed) })
+		r.after(2*latency, func() { r.reportOutcome(attempt, decide.ConnectFailed) })
 		return
 	}
 	if _, connected := n.connectedSince[srv]; cut && !connected { // no connection can be made across the partition
-		r.after(min(action.Wait, connectTimeout), func() { r.reportOutcome(attempt, incarnation, decide.ConnectFailed) })
+		r.after(min(action.Wait, connectTimeout), func() { r.reportOutcome(attempt, decide.ConnectFailed) })
 		return
 	}
 	r.after(action.Wait, func() { // the attempt's timeout
 		if !attempt.reported {
 			attempt.abandoned = true
 			r.recordEnd(attempt, judge.Abandoned)
-			r.reportOutcome(attempt, incarnation, decide.TimedOut)
+			r.reportOutcome(attempt, decide.TimedOut)
 		}
 	})
 	if cut { // it is sent on an existing connection, and lost
@@ -85,13 +87,18 @@
 	} else {
 		r.result.Handshakes++
 	}
-	r.after(latency, func() { r.handleArrival(attempt, latency, incarnation) })
+	r.after(latency, func() { r.handleArrival(attempt) })
+}
+
+// reportAfterLatency gives a node the outcome of an attempt once it has come from the server.
+func (r *run) reportAfterLatency(attempt *serverAttempt, result decide.Result) {
+	r.after(attempt.latency, func() { r.reportOutcome(attempt, result) })
 }
 
 // reportOutcome gives a node the outcome of an attempt, unless it has one or its process has ended.
-func (r *run) reportOutcome(attempt *serverAttempt, incarnation int, result decide.Result) {
+func (r *run) reportOutcome(attempt *serverAttempt, result decide.Result) {
 	n := attempt.node
-	if attempt.reported || n.incarnation != incarnation || n.dead {
+	if attempt.reported || n.incarnation != attempt.nodeIncarnation || n.dead {
 		return
 	}
 	attempt.reported = true
--- a/internal/rig/virtual/run.go
+++ b/internal/rig/virtual/run.go
@@ -94,9 +94,11 @@
 	number            int
 	server            *server
 	sentAt            time.Duration
-	reported          bool // the node has its outcome
-	judgeID           int  // number of the attempt at the judge; -1: not judged; -2: the server stopped
-	serverIncarnation int
+	latency           time.Duration // one-way, between its node and its server
+	nodeIncarnation   int           // of the process that sent it
+	reported          bool          // the node has its outcome
+	judgeID           int           // number of the attempt at the judge; -1: not judged; -2: the server stopped
+	serverIncarnation int           // of the process that it has reached
 	started           bool
 	endRecorded       bool // the judge has been given the outcome
 	abandoned         bool // its node no longer waits for it
@@ -134,6 +136,34 @@
 
 // Run simulates a configuration to its end.
 func Run(config Config) *Result {
+	r := newRun(config)
+	for _, step := range config.Steps {
+		r.at(step.At, func() { r.applyStep(step) })
+	}
+	if config.Churn > 0 {
+		r.scheduleChurn()
+	}
+	r.samplePeakLoad()
+	r.scheduleArrival()
+	r.processEvents(func() bool { return r.now > config.Duration && r.openRequests == 0 })
+	return r.summarize()
+}
+
+// processEvents processes the events in the order of their times until there are none, or until ended reports true.
+func (r *run) processEvents(ended func() bool) {
+	for _, more := r.events.Next(); more; _, more = r.events.Next() {
+		var do func()
+		r.now, do = r.events.Pop()
+		r.result.Events++
+		do()
+		if ended() {
+			break
+		}
+	}
+}
+
+// newRun returns a run with its servers and nodes, without traffic.
+func newRun(config Config) *run {
 	r := &run{config: config, rng: rand.New(rand.NewPCG(config.Seed, 77)), rateFactor: 1, keyExecutedAt: map[string]time.Duration{}}
 	r.result.Classes = make([]ClassResult, len(config.Classes))
 	r.worthBySite = make([][2]float64, max(1, config.Sites))
@@ -153,24 +183,7 @@
 	for i := range config.Nodes {
 		r.nodes = append(r.nodes, r.newNode(i, 0, i%max(1, config.Sites)))
 	}
-	for _, step := range config.Steps {
-		r.at(step.At, func() { r.applyStep(step) })
-	}
-	if config.Churn > 0 {
-		r.scheduleChurn()
-	}
-	r.samplePeakLoad()
-	r.scheduleArrival()
-	for _, more := r.events.Next(); more; _, more = r.events.Next() {
-		var do func()
-		r.now, do = r.events.Pop()
-		r.result.Events++
-		do()
-		if r.now > config.Duration && r.openRequests == 0 {
-			break
-		}
-	}
-	return r.summarize()
+	return r
 }
 
 // buildSettings fills in the settings that all nodes share.
--- a/internal/rig/virtual/servers.go
+++ b/internal/rig/virtual/servers.go
@@ -10,10 +10,10 @@
 )
 
 // handleArrival processes the arrival of an attempt at its server.
-func (r *run) handleArrival(attempt *serverAttempt, latency time.Duration, nodeIncarnation int) {
+func (r *run) handleArrival(attempt *serverAttempt) {
 	srv := attempt.server
 	if srv.down {
-		r.after(latency, func() { r.reportOutcome(attempt, nodeIncarnation, decide.ConnectFailed) })
+		r.reportAfterLatency(attempt, decide.ConnectFailed)
 		return
 	}
 	srv.attempts++
@@ -25,16 +25,16 @@
 	switch {
 	case srv.failsFast:
 		r.recordEnd(attempt, judge.Errored)
-		r.after(latency, func() { r.reportOutcome(attempt, nodeIncarnation, decide.Errored) })
+		r.reportAfterLatency(attempt, decide.Errored)
 		return
 	case srv.rejectsAll || srv.inFlight >= srv.maxRequests || attempt.abandoned:
 		r.recordEnd(attempt, judge.Rejected)
-		r.after(latency, func() { r.reportOutcome(attempt, nodeIncarnation, decide.Rejected) })
+		r.reportAfterLatency(attempt, decide.Rejected)
 		return
 	}
 	if r.collapses(srv, r.config.Classes[attempt.request.class].Work) {
 		r.stopServer(srv)
-		r.after(latency, func() { r.reportOutcome(attempt, nodeIncarnation, decide.ConnectionLost) })
+		r.reportAfterLatency(attempt, decide.ConnectionLost)
 		return
 	}
 	r.updateCongestion(srv)
@@ -45,12 +45,11 @@
 		attempt.lowerCallsLeft = r.config.CallsPerRequest
 	}
 	srv.queue = append(srv.queue, attempt)
-	r.dispatch(srv, latency, nodeIncarnation)
+	r.dispatch(srv)
 }
 
-// dispatch starts queued attempts on the free cores of a server. The latency is that of the arrival that caused it,
-// also for the responses to attempts of other nodes.
-func (r *run) dispatch(srv *server, latency time.Duration, triggerIncarnation int) {
+// dispatch starts queued attempts on the free cores of a server.
+func (r *run) dispatch(srv *server) {
 	for srv.busyCores < srv.cores && len(srv.queue) > 0 {
 		attempt := srv.queue[0]
 		srv.queue[0] = nil
@@ -69,18 +68,17 @@
 		srv.busyCores++
 		duration := time.Duration(float64(attempt.work) * srv.currentSlowdown(r) / (srv.speed * r.warmupFactor(srv)))
 		incarnation := srv.incarnation
-		nodeIncarnation := attempt.node.incarnation
 		r.after(duration, func() {
 			if srv.incarnation != incarnation {
 				return
 			}
 			srv.busyCores--
 			if attempt.lowerCallsLeft > 0 {
-				r.callLowerTier(attempt, latency, nodeIncarnation)
+				r.callLowerTier(attempt)
 			} else {
-				r.reply(attempt, latency, nodeIncarnation, true)
+				r.reply(attempt, true)
 			}
-			r.dispatch(srv, latency, triggerIncarnation)
+			r.dispatch(srv)
 		})
 	}
 }
@@ -101,18 +99,18 @@
 }
 
 // callLowerTier makes an attempt's next call to the second tier. The attempt keeps its slot, but no core, meanwhile.
-func (r *run) callLowerTier(attempt *serverAttempt, latency time.Duration, nodeIncarnation int) {
+func (r *run) callLowerTier(attempt *serverAttempt) {
 	srv := attempt.server
 	incarnation := srv.incarnation
 	remaining := attempt.request.startedAt + attempt.request.ttl - r.now
 	if remaining < time.Millisecond {
-		r.reply(attempt, latency, nodeIncarnation, false)
+		r.reply(attempt, false)
 		return
 	}
 	if srv.stuck { // until the request's deadline
 		r.after(remaining, func() {
 			if srv.incarnation == incarnation {
-				r.reply(attempt, latency, nodeIncarnation, false)
+				r.reply(attempt, false)
 			}
 		})
 		return
@@ -124,17 +122,17 @@
 		attempt.lowerCallsLeft--
 		switch {
 		case requestOutcome != judge.Served:
-			r.reply(attempt, latency, nodeIncarnation, false)
+			r.reply(attempt, false)
 		case attempt.lowerCallsLeft > 0:
-			r.callLowerTier(attempt, latency, nodeIncarnation)
+			r.callLowerTier(attempt)
 		default:
-			r.reply(attempt, latency, nodeIncarnation, true)
+			r.reply(attempt, true)
 		}
 	})
 }
 
 // reply ends an attempt at its server, and sends the response.
-func (r *run) reply(attempt *serverAttempt, latency time.Duration, nodeIncarnation int, success bool) {
+func (r *run) reply(attempt *serverAttempt, success bool) {
 	srv := attempt.server
 	r.updateCongestion(srv)
 	srv.inFlight--
@@ -150,7 +148,7 @@
 	case r.resetShare > 0 && r.rng.Float64() < r.resetShare:
 		result = decide.ConnectionLost
 	}
-	r.after(latency, func() { r.reportOutcome(attempt, nodeIncarnation, result) })
+	r.reportAfterLatency(attempt, result)
 }
 
 // warmupFactor returns the fraction of its capacity that a server has.
@@ -246,8 +244,7 @@
 func (r *run) cutAttempt(attempt *serverAttempt) {
 	r.recordEnd(attempt, judge.ConnectionCut)
 	attempt.judgeID = min(attempt.judgeID, -2)
-	incarnation := attempt.node.incarnation
-	r.after(r.config.SiteLatency, func() { r.reportOutcome(attempt, incarnation, decide.ConnectionLost) })
+	r.reportAfterLatency(attempt, decide.ConnectionLost)
 }
 
 // restartServer starts a server's process again, cold.
--- a/internal/rig/virtual/stalelist.go
+++ b/internal/rig/virtual/stalelist.go
@@ -162,19 +162,18 @@
 }
 
 // sendToStaleAddress simulates an attempt at the address of a server that no longer exists.
-func (r *run) sendToStaleAddress(attempt *serverAttempt, timeout, latency time.Duration) {
-	incarnation := attempt.node.incarnation
+func (r *run) sendToStaleAddress(attempt *serverAttempt, timeout time.Duration) {
 	r.result.StaleAttempts++
 	switch attempt.server.staleKind {
 	case connectionRefused:
-		r.after(2*latency, func() { r.reportOutcome(attempt, incarnation, decide.ConnectFailed) })
+		r.after(2*attempt.latency, func() { r.reportOutcome(attempt, decide.ConnectFailed) })
 	case wrongProcess:
 		r.result.WrongProcessAttempts++
 		if r.config.Classes[attempt.request.class].Idempotency == decide.AtMostOnce {
 			r.result.UnsafeMisdeliveries++
 		}
-		r.after(2*latency, func() { r.reportOutcome(attempt, incarnation, decide.Errored) })
+		r.after(2*attempt.latency, func() { r.reportOutcome(attempt, decide.Errored) })
 	default:
-		r.after(timeout, func() { r.reportOutcome(attempt, incarnation, decide.TimedOut) })
+		r.after(timeout, func() { r.reportOutcome(attempt, decide.TimedOut) })
 	}
 }
