Cut only attempts that have reached a server when its process ends

What was wrong: run.stopServer cut the attempts whose serverIncarnation was that of the ended process. It is 0 until an attempt arrives, so attempts under way to a server that ended for the first time were cut as well: their nodes heard of a lost connection after one latency, before they could, and a server that was back by then ran the attempt after all.

Change: an attempt has arrived or not; only those that have are cut. One that comes to a server that is down is refused a connection, as before.

servers_test.go:69: restarted meanwhile: ended as {3 }, want it served after 200 ms servers_test.go:72: down: ended as {3 }, before it can have been refused a connection

--- a/internal/rig/virtual/run.go
+++ b/internal/rig/virtual/run.go
@@ -97,6 +97,7 @@
 	latency           time.Duration // one-way, between its node and its server
 	nodeIncarnation   int           // of the process that sent it
 	reported          bool          // the node has its outcome
+	arrived           bool          // it has reached a running server
 	judgeID           int           // number of the attempt at the judge; -1: not judged; -2: the server stopped
 	serverIncarnation int           // of the process that it has reached
 	started           bool
--- a/internal/rig/virtual/servers.go
+++ b/internal/rig/virtual/servers.go
@@ -21,7 +21,7 @@
 	if attempt.request.judgeKey != "" {
 		attempt.judgeID = r.judge.AttemptArrived(r.now, attempt.request.judgeKey, srv.id, attempt.request.judgeKey)
 	}
-	attempt.serverIncarnation = srv.incarnation
+	attempt.arrived, attempt.serverIncarnation = true, srv.incarnation
 	switch {
 	case srv.failsFast:
 		r.recordEnd(attempt, judge.Errored)
@@ -231,7 +231,7 @@
 	for _, n := range nodes {
 		for _, id := range sortedIDs(n.requests) {
 			for _, attempt := range n.requests[id].attempts {
-				if attempt.server == srv && !attempt.reported && attempt.serverIncarnation == srv.incarnation-1 && attempt.judgeID != -2 {
+				if attempt.server == srv && attempt.arrived && !attempt.reported && attempt.serverIncarnation == srv.incarnation-1 && attempt.judgeID != -2 {
 					r.cutAttempt(attempt)
 				}
 			}
@@ -240,7 +240,7 @@
 	r.publish(srv, decide.Removed)
 }
 
-// cutAttempt ends an attempt because its server's process ended.
+// cutAttempt ends an attempt that has arrived because its server's process ended.
 func (r *run) cutAttempt(attempt *serverAttempt) {
 	r.recordEnd(attempt, judge.ConnectionCut)
 	attempt.judgeID = min(attempt.judgeID, -2)
--- a/internal/rig/virtual/servers_test.go
+++ b/internal/rig/virtual/servers_test.go
@@ -53,3 +53,23 @@
 		}
 	}
 }
+
+// An attempt that is under way when its server's process ends has not reached it. It must find what is there when it
+// arrives, and its node must not be told before that a connection was lost.
+func TestStopCutsOnlyAttemptsThatArrived(t *testing.T) {
+	for name, restarts := range map[string]bool{"restarted meanwhile": true, "down": false} {
+		r := oneServerRun()
+		far := submitAt(r, 0, 1)
+		r.at(10*ms, func() { r.stopServer(r.servers[0][0]) })
+		if restarts {
+			r.at(20*ms, func() { r.restartServer(r.servers[0][0]) })
+		}
+		r.processEvents(func() bool { return far.at > 0 })
+		if restarts && *far != (ending{judge.Served, 200 * ms}) {
+			t.Errorf("%s: ended as %v, want it served after 200 ms", name, *far)
+		}
+		if !restarts && far.at < 100*ms {
+			t.Errorf("%s: ended as %v, before it can have been refused a connection", name, *far)
+		}
+	}
+}
