Repeat runs of the lease simulation by seed with several leases a node

What was wrong: a node kept its clients in a map and stepped them in the order of the map. Each step draws random numbers, so with more than one lease a node two runs of one seed differed.

Change: the clients are a slice, in the order of their creation.

--- a/internal/rig/leases/client.go
+++ b/internal/rig/leases/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"curlewring/internal/fleet/lease"
@@ -30,14 +31,12 @@
 			n.sim.Violations = append(n.sim.Violations, err.Error())
 			return
 		}
-		n.clients[holder.Life] = &leaseClient{client: client, stopAt: stopAt, handsOver: n.sim.rng.IntN(3) == 0}
+		n.clients = append(n.clients, &leaseClient{client: client, stopAt: stopAt, handsOver: n.sim.rng.IntN(3) == 0})
 	}
-	for life, x := range n.clients { // at most one if all nodes compete for one lease
+	for _, x := range n.clients { // at most one if all nodes compete for one lease
 		n.stepClient(x, now)
-		if x.client.Phase() == lease.Over {
-			delete(n.clients, life)
-		}
 	}
+	n.clients = slices.DeleteFunc(n.clients, func(x *leaseClient) bool { return x.client.Phase() == lease.Over })
 	n.processOutput()
 }
 
@@ -89,10 +88,11 @@
 
 // handleReply passes a reply of the lease log to the client that it belongs to, if that still exists.
 func (n *node) handleReply(reply *leaselog.LocalReply) {
-	x := n.clients[reply.Life]
-	if x == nil {
+	i := slices.IndexFunc(n.clients, func(x *leaseClient) bool { return x.client.Holder().Life == reply.Life })
+	if i < 0 {
 		return
 	}
+	x := n.clients[i]
 	switch reply.Kind {
 	case leaselog.CommandAnswer:
 		x.client.HandleAnswer(n.clock(), reply.Answer)
--- a/internal/rig/leases/sim.go
+++ b/internal/rig/leases/sim.go
@@ -72,7 +72,7 @@
 	syncs    int
 	sent     Traffic
 	log      *leaselog.Node
-	clients  map[uint64]*leaseClient // by the life of their holder
+	clients  []*leaseClient // in the order in which they were created
 }
 
 // clock returns the node's own time. It goes on while the process is paused.
@@ -140,7 +140,7 @@
 func (n *node) start() {
 	n.epoch++
 	n.dead, n.paused, n.queued = false, false, nil
-	n.clients = map[uint64]*leaseClient{}
+	n.clients = nil
 	n.openLog()
 	n.runEvery(simTickInterval, func() {
 		if n.log.Broken() != nil { // reopen it from the disk, as a real node does
