Let each fault of the lease simulation last until its own end

What was wrong: a fault of the network or the disks set a field of Sim, and its end reset it, so the first end of two that overlapped ended both, and the later one replaced the earlier one. A pause or crash of a node that was paused or down was dropped. The restarts that belong to the loss of a disk started a process that another fault had killed meanwhile.

Change: faults of the network and the disks are conditions that are added and removed one by one; of each kind the worst counts, and all cuts. A node knows until when it is paused and down.

Before, with the old code moved into methods that a test can call:

loss, the second one for 1s: active at 2.75s: false, want true loss, the second one for 4s: active at 3.25s: false, want true delay, the second one for 1s: active at 2.75s: false, want true delay, the second one for 4s: active at 3.25s: false, want true cut, the second one for 1s: active at 2.75s: false, want true cut, the second one for 4s: active at 3.25s: false, want true slow disks, the second one for 1s: active at 2.75s: false, want true slow disks, the second one for 4s: active at 3.25s: false, want true pause, the second one for 4s: active at 3.25s: false, want true crash, the second one for 4s: active at 3.25s: false, want true

--- a/internal/rig/leases/faults.go
+++ b/internal/rig/leases/faults.go
@@ -37,38 +37,29 @@
 		target.pause(duration)
 	case 4:
 		for _, n := range s.nodes { // every holder
-			for _, x := range n.clients {
-				if x.client.MaxActDuration(n.clock()) > 0 {
-					n.pause(duration)
-				}
+			if n.holdsLease() {
+				n.pause(duration)
 			}
 		}
 	case 5:
 		for _, n := range s.nodes {
-			for _, x := range n.clients {
-				if x.client.MaxActDuration(n.clock()) > 0 {
-					s.crashFor(n, duration)
-				}
+			if n.holdsLease() {
+				s.crashFor(n, duration)
 			}
 		}
 	case 6:
-		s.lossProbability, s.duplicateProbability = 0.3*s.rng.Float64(), 0.2
-		s.after(duration, func() { s.lossProbability, s.duplicateProbability = 0, 0 })
+		s.disturb(duration, conditions{lossProbability: 0.3 * s.rng.Float64(), duplicateProbability: 0.2})
 	case 7:
-		s.maxExtraDelay = 4 * time.Second
-		s.after(duration, func() { s.maxExtraDelay = 0 })
+		s.disturb(duration, conditions{maxExtraDelay: 4 * time.Second})
 	case 8:
 		split := s.rng.IntN(len(s.nodes))
 		inFirstPart := func(n *node) bool { return slices.Index(s.nodes, n) < split }
-		s.isCut = func(from, to *node) bool { return inFirstPart(from) != inFirstPart(to) }
-		s.after(duration, func() { s.isCut = nil })
+		s.disturb(duration, conditions{isCut: func(from, to *node) bool { return inFirstPart(from) != inFirstPart(to) }})
 	case 9: // a leader that cannot receive, or one that cannot send
 		canReceive := s.rng.IntN(2) == 0
-		s.isCut = func(from, to *node) bool { return canReceive && from == leader || !canReceive && to == leader }
-		s.after(duration, func() { s.isCut = nil })
+		s.disturb(duration, conditions{isCut: func(from, to *node) bool { return canReceive && from == leader || !canReceive && to == leader }})
 	case 10:
-		s.maxSyncTime = 400 * time.Millisecond
-		s.after(duration, func() { s.maxSyncTime = 2 * time.Millisecond })
+		s.disturb(duration, conditions{maxSyncTime: 400 * time.Millisecond})
 	case 11:
 		for _, n := range voters {
 			s.crashFor(n, duration+time.Duration(s.rng.Int64N(int64(time.Second))))
@@ -80,15 +71,17 @@
 	}
 }
 
-// crashFor kills a process and restarts it after a while.
+// holdsLease reports whether a client of the running process may access the resource.
+func (n *node) holdsLease() bool {
+	return !n.dead && slices.ContainsFunc(n.clients, func(x *leaseClient) bool { return x.client.MaxActDuration(n.clock()) > 0 })
+}
+
+// crashFor kills a process and restarts it after a while, or later if another fault keeps it down for longer.
 func (s *Sim) crashFor(n *node, duration time.Duration) {
-	if n.dead {
-		return
-	}
 	n.kill()
-	epoch := n.epoch
+	n.downUntil = max(n.downUntil, s.now+duration)
 	s.after(duration, func() {
-		if n.dead && n.epoch == epoch {
+		if n.dead && s.now >= n.downUntil {
 			n.start()
 		}
 	})
@@ -100,28 +93,23 @@
 	if n.dead {
 		return
 	}
+	const restartTime = 100 * time.Millisecond
 	oldDisk, oldUserData := consensus.PersistentState{}, []byte(nil)
 	if s.rng.IntN(2) == 0 {
 		oldDisk, oldUserData = n.disk.Clone(), n.userData
 	}
-	n.kill()
-	restart := func() {
-		if n.dead {
-			n.start()
-		}
-	}
-	if oldDisk.ID != 0 { // two starts before the old contents come back
-		s.after(100*time.Millisecond, restart)
-		s.after(700*time.Millisecond, n.kill)
-		s.after(800*time.Millisecond, restart)
-		s.after(1400*time.Millisecond, n.kill)
-	}
-	s.after(1500*time.Millisecond+duration, func() {
-		if n.dead {
-			n.disk, n.userData = oldDisk, oldUserData
-			n.start()
-		}
+	duration += 1500 * time.Millisecond
+	s.after(duration, func() { // before the process starts, whose event is scheduled later
+		n.kill()
+		n.disk, n.userData = oldDisk, oldUserData
 	})
+	if oldDisk.ID == 0 {
+		s.crashFor(n, duration)
+		return
+	}
+	s.crashFor(n, restartTime) // two starts before the old contents come back
+	s.after(700*time.Millisecond, func() { s.crashFor(n, restartTime) })
+	s.after(1400*time.Millisecond, func() { s.crashFor(n, duration-1400*time.Millisecond) })
 }
 
 // checkAccesses checks the record of the resource: accesses under different tokens must not overlap, tokens must not
@@ -219,7 +207,7 @@
 		s.injectFault(loseVoter)
 	}
 	s.run(s.now + 7*time.Second) // until the last fault is over
-	s.lossProbability, s.duplicateProbability, s.maxExtraDelay, s.isCut, s.maxSyncTime = 0, 0, 0, nil, 2*time.Millisecond
+	s.disturbances = nil
 	for _, n := range s.nodes {
 		if n.dead {
 			n.start()
--- a/internal/rig/leases/sim.go
+++ b/internal/rig/leases/sim.go
@@ -15,24 +15,20 @@
 // lease, the network between the nodes, and the resource that the lease protects. The resource records every access;
 // the checks use that record, not any node's opinion.
 type Sim struct {
-	rng                  *rand.Rand
-	now                  time.Duration
-	events               timeline.Events
-	timing               lease.Timing
-	nodes                []*node
-	nodesByName          map[string]*node
-	Accesses             []Access
-	Grants               int
-	voterIDs             map[uint64]bool // of all voters that there ever were
-	lossProbability      float64
-	duplicateProbability float64
-	maxExtraDelay        time.Duration
-	isCut                func(from, to *node) bool
-	maxSyncTime          time.Duration // upper bound of the random time of a disk sync
-	Violations           []string
-	LeasesPerNode        int  // each node holds this many leases of its own throughout; 0: all nodes compete for one
-	SendBeforeSync       bool // fault to be found: a voter sends messages before its disk sync is done
-	ActAfterExpiry       bool // fault to be found: clients go on acting after their lease has ended
+	rng            *rand.Rand
+	now            time.Duration
+	events         timeline.Events
+	timing         lease.Timing
+	nodes          []*node
+	nodesByName    map[string]*node
+	Accesses       []Access
+	Grants         int
+	voterIDs       map[uint64]bool // of all voters that there ever were
+	disturbances   []*conditions   // that are present
+	Violations     []string
+	LeasesPerNode  int  // each node holds this many leases of its own throughout; 0: all nodes compete for one
+	SendBeforeSync bool // fault to be found: a voter sends messages before its disk sync is done
+	ActAfterExpiry bool // fault to be found: clients go on acting after their lease has ended
 }
 
 // Access is one access to the resource, in simulation time.
@@ -62,6 +58,8 @@
 	epoch       int // changes at every start and kill, so that steps of an earlier process are dropped
 	dead        bool
 	paused      bool
+	pausedUntil time.Duration // when the longest pause of the process ends
+	downUntil   time.Duration // when the longest crash of the process ends
 	diedAt      time.Duration // when it was last killed
 	queued      []func()      // steps that arrived while the process was paused
 	clockRate   float64       // seconds of the node's clock per second of simulation time
@@ -94,15 +92,16 @@
 	}
 }
 
-// pause suspends the process for a while. Steps that arrive meanwhile run when it resumes.
+// pause suspends the process for a while, or for longer if another pause ends later. Steps that arrive meanwhile run
+// when it resumes.
 func (n *node) pause(duration time.Duration) {
-	if n.paused || n.dead {
+	if n.dead {
 		return
 	}
-	n.paused = true
+	n.paused, n.pausedUntil = true, max(n.pausedUntil, n.sim.now+duration)
 	epoch := n.epoch
 	n.sim.after(duration, func() {
-		if n.epoch != epoch {
+		if n.epoch != epoch || n.sim.now < n.pausedUntil {
 			return
 		}
 		n.paused = false
@@ -139,7 +138,7 @@
 // start starts a process with what the disk holds.
 func (n *node) start() {
 	n.epoch++
-	n.dead, n.paused, n.queued = false, false, nil
+	n.dead, n.paused, n.pausedUntil, n.queued = false, false, 0, nil
 	n.clients = nil
 	n.openLog()
 	n.runEvery(simTickInterval, func() {
@@ -190,7 +189,7 @@
 			}
 			n.syncs++
 		}
-		wait := time.Millisecond + time.Duration(n.sim.rng.Int64N(int64(n.sim.maxSyncTime)+1))
+		wait := time.Millisecond + time.Duration(n.sim.rng.Int64N(int64(n.sim.conditions().maxSyncTime)+1))
 		if n.sim.SendBeforeSync {
 			n.sim.after(wait+200*time.Millisecond, func() { n.runStep(epoch, writeDisk) })
 			log.Saved(n.clock())
@@ -224,17 +223,18 @@
 
 // deliver runs a step at the receiving node for a message, unless the network loses it; duplicates and delays apply.
 func (s *Sim) deliver(from, to *node, do func()) {
-	if s.isCut != nil && s.isCut(from, to) || s.rng.Float64() < s.lossProbability {
+	present := s.conditions()
+	if s.cuts(from, to) || s.rng.Float64() < present.lossProbability {
 		return
 	}
 	copies := 1
-	if s.rng.Float64() < s.duplicateProbability {
+	if s.rng.Float64() < present.duplicateProbability {
 		copies = 2
 	}
 	for range copies {
 		wait := time.Millisecond + time.Duration(s.rng.Int64N(int64(time.Millisecond)))
-		if s.maxExtraDelay > 0 && s.rng.IntN(3) == 0 {
-			wait += time.Duration(s.rng.Int64N(int64(s.maxExtraDelay)))
+		if present.maxExtraDelay > 0 && s.rng.IntN(3) == 0 {
+			wait += time.Duration(s.rng.Int64N(int64(present.maxExtraDelay)))
 		}
 		epoch := to.epoch
 		s.after(wait, func() { to.runStep(epoch, do) })
@@ -243,7 +243,7 @@
 
 // New starts nodes and schedules the founding of their log with the given number of voters.
 func New(seed uint64, nodes, voters int) *Sim {
-	s := &Sim{rng: rand.New(rand.NewPCG(seed, 99)), nodesByName: map[string]*node{}, voterIDs: map[uint64]bool{}, timing: lease.Timing{}.Default(), maxSyncTime: 2 * time.Millisecond}
+	s := &Sim{rng: rand.New(rand.NewPCG(seed, 99)), nodesByName: map[string]*node{}, voterIDs: map[uint64]bool{}, timing: lease.Timing{}.Default()}
 	for i := range nodes {
 		n := &node{
 			sim: s, name: fmt.Sprint("n", i), site: fmt.Sprint("s", i%3), clockOffset: time.Duration(s.rng.Int64N(int64(1000 * time.Hour))),
