Count the answers to all sponsors of a view whose members all watch each other

Callers: with 16 watchers a member, a view of 17 never let in a node that four of its members could not reach, although the 13 sponsors that are enough (of 17) had its answers. Nodes themselves set 10 watchers (11 sponsors at the most), so no running fleet had this; the settings of the package allow 16.

Cause: a view of at most WatchersPerMember+1 members has all of them as sponsors (View.sponsors), so there are 17 slots. handleJoinerAnswered refused slots from 16 on, and pendingJoiner.answeredSlots had 16 bits, so recordJoinerAnswer took a sponsor's own answer for slot 16 as new each time, never counted it, and moved detector.changedAt. prunePending computed 1<<17 - 1 in 16 bits, which happened to give 16 set bits.

Change: maxWatchers and maxSponsors are named once. answeredSlots has 32 bits, recordJoinerAnswer, through which both ways go, refuses slots from maxSponsors on, and Settings.Check and the slots of the accusers use maxWatchers. The accusers' 16 bits are enough: a member has maxWatchers at the most, which TestSlotsFitBitSets checks.

Not seen in a fleet: the quiet period that starts anew. The sponsor of slot 16 is the last proposer of the view, and tells itself only if it takes all but two of the others for silent; maxProposeDelay bounds the wait in any case.

--- a/internal/fleet/membership/detector.go
+++ b/internal/fleet/membership/detector.go
@@ -18,9 +18,9 @@
 
 // subjectState is what is known about one member.
 type subjectState struct {
-	alertSeqs         [16]uint32    // latest Alert.Seq of each watcher
-	accusers          uint16        // bit set of the watcher slots that accuse
-	refutedAt         time.Duration // 0 if it never refuted
+	alertSeqs         [maxWatchers]uint32 // latest Alert.Seq of each watcher
+	accusers          uint16              // bit set of the watcher slots that accuse, maxWatchers at most
+	refutedAt         time.Duration       // 0 if it never refuted
 	refutationSeq     uint32
 	halfAccusedSince  time.Duration // time since which half of the watchers accuse; 0 if they don't
 	lowWatermarkSince time.Duration // time since which accusers reach the low watermark; 0 if they don't
--- a/internal/fleet/membership/join.go
+++ b/internal/fleet/membership/join.go
@@ -272,7 +272,7 @@
 // pendingJoiner is a joining life and the sponsors that it has answered.
 type pendingJoiner struct {
 	member         Member
-	answeredSlots  uint16        // bit set of sponsor slots
+	answeredSlots  uint32        // bit set of sponsor slots, maxSponsors at most
 	answeredAt     time.Duration // last answer
 	lastViewNumber uint64        // highest view number that it knew
 }
@@ -283,14 +283,18 @@
 		return
 	}
 	for _, joiner := range m.Joiners {
-		if joiner.Member.Check() == nil && joiner.SponsorSlot < 16 {
+		if joiner.Member.Check() == nil {
 			n.recordJoinerAnswer(joiner)
 		}
 	}
 }
 
-// recordJoinerAnswer records that a joiner answered one of its sponsors.
+// recordJoinerAnswer records that a joiner answered one of its sponsors. It ignores slots that no
+// sponsor has.
 func (n *Node) recordJoinerAnswer(joiner Joiner) {
+	if joiner.SponsorSlot >= maxSponsors {
+		return
+	}
 	if _, in := n.view.IndexOfLife(joiner.Member.Life); in {
 		return
 	}
@@ -315,7 +319,7 @@
 	for life, p := range n.pending {
 		if _, in := v.IndexOfLife(life); in {
 			delete(n.pending, life)
-		} else if bits.OnesCount16(p.answeredSlots) < highWatermark(len(v.sponsors(life))) {
+		} else if bits.OnesCount32(p.answeredSlots) < highWatermark(len(v.sponsors(life))) {
 			delete(n.pending, life) // it has other sponsors in the new view and must answer them
 		} else {
 			p.answeredSlots = 1<<len(v.sponsors(life)) - 1
@@ -345,7 +349,7 @@
 	for _, p := range candidates {
 		m := p.member
 		if usedNames[m.Name] || len(adds) >= maxAddsPerChange || len(n.view.Members)+len(adds) >= maxMembers ||
-			bits.OnesCount16(p.answeredSlots) < highWatermark(len(n.view.sponsors(m.Life))) {
+			bits.OnesCount32(p.answeredSlots) < highWatermark(len(n.view.sponsors(m.Life))) {
 			continue
 		}
 		if i, ok := n.view.IndexOfName(m.Name); ok {
--- a/internal/fleet/membership/node_test.go
+++ b/internal/fleet/membership/node_test.go
@@ -252,3 +252,47 @@
 		t.Error("no run decided anything, so nothing was tested")
 	}
 }
+
+// Each slot that a sponsor can have must count once, also the last one of the largest view whose members all watch each
+// other: an answer that never counts restarts the quiet period before a proposal each time. Other slots are ignored.
+func TestEachSponsorSlotCountsOnce(t *testing.T) {
+	n := nodeInView(t, 3, 0)
+	joiner := Joiner{Member: testMember(9)}
+	for slot := range uint32(maxSponsors + 20) {
+		joiner.SponsorSlot = slot
+		n.detector.changedAt = 0
+		n.recordJoinerAnswer(joiner)
+		if isNew := n.detector.changedAt != 0; isNew != (slot < maxSponsors) {
+			t.Errorf("slot %d: counted is %v", slot, isNew)
+		}
+		n.detector.changedAt = 0
+		if n.recordJoinerAnswer(joiner); n.detector.changedAt != 0 {
+			t.Errorf("slot %d: a repeated answer counts as new", slot)
+		}
+	}
+	if slots := uint64(n.pending[joiner.Member.Life].answeredSlots); slots != 1<<maxSponsors-1 {
+		t.Errorf("slots answered: %b", slots)
+	}
+}
+
+// No view may have more watchers or sponsors than the bit sets hold, at the most watchers that the settings allow.
+func TestSlotsFitBitSets(t *testing.T) {
+	settings := Settings{Self: testMember(0), WatchersPerMember: maxWatchers}.Default()
+	if err := settings.Check(); err != nil {
+		t.Error(err)
+	}
+	if settings.WatchersPerMember++; settings.Check() == nil {
+		t.Errorf("%d watchers are accepted", settings.WatchersPerMember)
+	}
+	most, mostSponsors := 0, 0
+	for size := 1; size <= 3*maxWatchers; size++ {
+		v, err := NewView(9, 1, manyMembers()[:size], maxWatchers)
+		if err != nil {
+			t.Fatal(err)
+		}
+		most, mostSponsors = max(most, len(v.WatchersOf(0))), max(mostSponsors, len(v.sponsors(1e6)))
+	}
+	if most != maxWatchers || mostSponsors != maxSponsors {
+		t.Errorf("at most %d watchers and %d sponsors, want %d and %d", most, mostSponsors, maxWatchers, maxSponsors)
+	}
+}
--- a/internal/fleet/membership/settings.go
+++ b/internal/fleet/membership/settings.go
@@ -66,8 +66,8 @@
 	if err := self.Check(); err != nil {
 		return err
 	}
-	if s.WatchersPerMember > 16 {
-		return fmt.Errorf("WatchersPerMember: %d is above the maximum of 16", s.WatchersPerMember)
+	if s.WatchersPerMember > maxWatchers {
+		return fmt.Errorf("WatchersPerMember: %d is above the maximum of %d", s.WatchersPerMember, maxWatchers)
 	}
 	if s.AccuseAfter < 2*s.ProbeInterval {
 		return fmt.Errorf("AccuseAfter: must be at least two probe intervals of %v, is %v", s.ProbeInterval, s.AccuseAfter)
@@ -75,6 +75,13 @@
 	return nil
 }
 
+// The most watchers that a member can have, and the most sponsors of a joiner: in a view whose members
+// all watch each other, each of them is a sponsor. Bit sets of their slots must hold that many.
+const (
+	maxWatchers = 16
+	maxSponsors = maxWatchers + 1
+)
+
 // Limits that are not configurable.
 const (
 	maxMembers             = 20_000
--- a/internal/rig/members/faults_test.go
+++ b/internal/rig/members/faults_test.go
@@ -375,3 +375,28 @@
 		}
 	}
 }
+
+// In a view whose members all watch each other, every member is a sponsor, and the answers to all of them must count: a
+// new node that four of 17 members can't reach is let in, as it has answered the 13 that are enough.
+func TestAllSponsorsOfSmallViewCount(t *testing.T) {
+	const members, unreachable = 17, 4
+	for seed := range uint64(12) {
+		n := New(Config{Seed: seed, Nodes: members + 1, Sites: 4, SeedCount: 3, EditSettings: func(s *membership.Settings) {
+			s.WatchersPerMember = members - 1
+		}})
+		for i := range members {
+			n.Start(i, false)
+		}
+		awaitAgreement(t, n, time.Minute)
+		joiner := n.Nodes[members]
+		n.SetLinks(func(from, to *Node) Link {
+			other := from.Index + to.Index - joiner.Index
+			return Link{Cut: (from == joiner || to == joiner) && other >= members-unreachable}
+		})
+		n.Start(members, false)
+		t.Logf("seed %d: agreed after %v", seed, awaitAgreement(t, n, 30*time.Second))
+		if len(n.Violations) > 0 {
+			t.Errorf("seed %d: %v", seed, n.Violations)
+		}
+	}
+}
