Request a node's own lease again after its request has failed or ended

Callers: a node that was at its limit of 4,096 lease clients when it wanted its own lease (list/SITE, while it starts without a list) never requested it, also once clients had ended, and logged nothing. The same where the leader refused the request (64 waiters a lease), and where a lease was lost. It went on by its wait for other nodes.

Cause: LocalLease.run dropped the error of startSession and returned, as it did after any call that gave no client. An Over client was not looked at: run went on waiting for Release, and the bootstrap runner reads only Holding.

Change: run requests the lease until Release or the end of the leases. A request that fails or whose client is Over is made again after 5 s, give or take a quarter, and logged once until one is answered (in line or held), which is logged too if it comes after a failure. While the node leaves its own leases are not requested, so that Leave does not wait for one.

--- a/internal/node/leases/leases.go
+++ b/internal/node/leases/leases.go
@@ -71,6 +71,7 @@
 	lastStatus leaselog.StatusSummary
 	// The disk is being loaded again: saves of the present node are no longer passed on.
 	reopening bool
+	leaving   bool // the node's own leases are not requested any more
 }
 
 // Open opens the folder and the operators' socket. It must be called before the members run.
@@ -319,6 +320,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	if l.call(ctx, func() {
+		l.leaving = true
 		for _, s := range l.sessions {
 			s.client.Stop(clock.Boot(), lease.Holder{})
 		}
--- a/internal/node/leases/sessions.go
+++ b/internal/node/leases/sessions.go
@@ -75,6 +75,7 @@
 
 // abandonSessions notifies all users that this node ends; the leases that they hold expire.
 func (l *Leases) abandonSessions() {
+	l.leaving = true
 	for _, s := range l.sessions {
 		s.client.Abandon()
 		for _, event := range s.client.Events() {
@@ -159,13 +160,28 @@
 	}
 }
 
-// LocalLease is a lease that this node itself requests or holds.
+// LocalLease is a lease that this node itself requests or holds. The request is made again, after a
+// wait around localRetryInterval, whenever it is refused or the lease is lost.
 type LocalLease struct {
 	Events   chan lease.Event // an event that does not fit is dropped
 	leases   *Leases
 	name     string
 	ttl      time.Duration
 	released chan struct{}
+
+	// Owned by the goroutine of Leases.Run.
+	client      *lease.Client // of the present request; nil: it could not be made
+	ended       chan struct{} // closed when the present request has ended
+	stopping    bool          // the lease is being released
+	unavailable bool          // a request has ended, which was logged, and none was answered since
+}
+
+// localRetryInterval is the mean wait before a LocalLease is requested again.
+const localRetryInterval = 5 * time.Second
+
+// retryWait draws a wait from three to five quarters of localRetryInterval.
+func retryWait() time.Duration {
+	return time.Duration((0.75 + rand.Float64()/2) * float64(localRetryInterval))
 }
 
 // Acquire requests a lease on behalf of this node. It does not block. The caller must Release it.
@@ -178,26 +194,83 @@
 // run ends after Release, or with the leases.
 func (l *LocalLease) run() {
 	ctx := context.Background() // a call ends with the leases
-	var client *lease.Client
-	notify := func(event lease.Event) bool {
+	for {
+		if l.leases.call(ctx, l.request) != nil {
+			return
+		}
 		select {
-		case l.Events <- event:
-		default:
+		case <-l.ended:
+		case <-l.released:
+			l.leases.call(ctx, l.stop)
+			return
+		case <-l.leases.done:
+			return
+		}
+		select {
+		case <-time.After(retryWait()):
+		case <-l.released:
+			return
+		case <-l.leases.done:
+			return
 		}
-		return true
 	}
-	if l.leases.call(ctx, func() { client, _ = l.leases.startSession(l.name, l.ttl, notify) }) != nil || client == nil {
+}
+
+// request starts a client that requests the lease, unless the node is leaving.
+func (l *LocalLease) request() {
+	l.client, l.ended = nil, make(chan struct{})
+	if l.leases.leaving {
+		close(l.ended)
 		return
 	}
+	client, err := l.leases.startSession(l.name, l.ttl, l.handleEvent)
+	if err != nil {
+		l.requestEnded(err.Error())
+		return
+	}
+	l.client = client
+}
+
+// handleEvent passes on an event of the client.
+func (l *LocalLease) handleEvent(event lease.Event) bool {
 	select {
-	case <-l.released:
-	case <-l.leases.done:
+	case l.Events <- event:
+	default:
+	}
+	if event.Kind != lease.PhaseChanged {
+		return true
+	}
+	switch event.Phase {
+	case lease.Queued, lease.Holding:
+		if l.unavailable {
+			l.leases.log.Info("this node holds its own lease or waits for it", "lease", l.name)
+		}
+		l.unavailable = false
+	case lease.Over:
+		l.requestEnded(event.Why)
+	}
+	return true
+}
+
+// requestEnded notes that the present request has ended. It logs why, once until a request is answered.
+func (l *LocalLease) requestEnded(why string) {
+	close(l.ended)
+	if l.stopping || l.leases.leaving || l.unavailable {
+		return
+	}
+	l.unavailable = true
+	l.leases.log.Warn("this node does not get a lease of its own, or has lost it, and requests it again",
+		"lease", l.name, "why", why, "every", localRetryInterval)
+}
+
+// stop releases the lease, or withdraws the request for it.
+func (l *LocalLease) stop() {
+	l.stopping = true
+	if l.client == nil {
 		return
 	}
-	l.leases.call(ctx, func() {
-		client.EndActs(clock.Boot())
-		client.Stop(clock.Boot(), lease.Holder{})
-	})
+	l.client.EndActs(clock.Boot())
+	l.client.Stop(clock.Boot(), lease.Holder{})
 }
 
 // Release releases the lease, or withdraws the request for it. What was done under the lease must
