Test that a message of an unknown kind and an entry of a later version are rejected

Need: TestEntryOfLaterVersionStopsVoter sent a message of kind NoVotersKnown+1 as one that is not known. Since messages about maintenance were added that is QueryMaintenance, which was rejected only for its missing Origin: the check of the kind was in no test. With that check taken out the test passed:

--- PASS: TestEntryOfLaterVersionStopsVoter (0.00s)

Its other part, the entry of a later version, did reach its case, but the entry held nothing to apply.

Change: the check of the kind has a test of its own, with all that any kind requires in the message and the kinds 1 to 1,023: those up to lastKind are parsed, all others rejected for their kind (256 and above would be cut to a known one). lastKind follows from the list, so that a kind that is added counts by itself. The entry now holds a command, which no voter may apply; all voters are checked again after a restart, not one, and none may send requests on, not the leader alone. Both are stricter than what they replace.

With the check of the kind taken out:

--- FAIL: TestMessageOfUnknownKindIsRejected (0.01s) kind 15 is not known, but the error is <nil> (1,009 lines; 256, 512 and 768 are then rejected as kind 0)

With the check of the version taken out:

--- FAIL: TestEntryOfLaterVersionStopsVoter (0.00s) running: n0 was not stopped by the entry: <nil> running: n0 sends requests on to n1 running: n0 applied a command of the entry (the same of n1 and n2, and of all three restarted)

With both in place: 3 of 3 runs of the package with -race pass.

--- a/internal/fleet/leaselog/encoding.go
+++ b/internal/fleet/leaselog/encoding.go
@@ -254,7 +254,7 @@
 	}
 	switch f.Number {
 	case 1:
-		if f.Uint > uint64(MaintenanceReply) {
+		if f.Uint > uint64(lastKind) {
 			return protofields.Errorf("unknown message kind %d", f.Uint)
 		}
 		m.Kind = Kind(f.Uint)
--- a/internal/fleet/leaselog/message.go
+++ b/internal/fleet/leaselog/message.go
@@ -25,8 +25,12 @@
 	NoVotersKnown                    // the sender knows no voters
 	QueryMaintenance                 // Ref: requests the maintenance table
 	MaintenanceReply                 // MaintenanceTable of the leader, or MaintenanceAnswer to the request Ref
+	kindsEnd                         // follows the last type
 )
 
+// lastKind is the last message type that this program knows.
+const lastKind = kindsEnd - 1
+
 // ForwardedCommand is a command on its way to the leader: a lease command or a maintenance command.
 type ForwardedCommand struct {
 	Command     lease.Command
--- a/internal/fleet/leaselog/node_test.go
+++ b/internal/fleet/leaselog/node_test.go
@@ -11,6 +11,7 @@
 
 	"curlewring/internal/fleet/consensus"
 	"curlewring/internal/fleet/lease"
+	"curlewring/internal/fleet/protofields"
 )
 
 // testFleet is a set of nodes whose messages arrive at once and whose disk writes end at once unless they hang.
@@ -382,30 +383,63 @@
 	}
 }
 
-// A voter that reads an entry of a later program version must stop and report the reason: skipping the entry would
-// make its state differ from that of the other voters.
+// A voter that reads an entry of a later program version must stop, apply nothing of it and report the reason, also after
+// a restart: skipping the entry would make its state differ from that of the other voters.
 func TestEntryOfLaterVersionStopsVoter(t *testing.T) {
 	f, _ := newFoundedFleet(t, 3, 3)
 	leader := f.leader()
-	if err := leader.voter.Propose(appendEntry(nil, &logEntry{Version: entryVersion + 1})); err != nil {
+	acquire := lease.Command{Op: lease.Acquire, Lease: "later", Holder: newHolder("n0", 5), Seq: 1, TTL: time.Minute}
+	entry := logEntry{Version: entryVersion + 1, Commands: []ForwardedCommand{{Command: acquire, Origin: "n0"}}}
+	if err := leader.voter.Propose(appendEntry(nil, &entry)); err != nil {
 		t.Fatal(err)
 	}
+	checkStopped := func(when string) {
+		t.Helper()
+		for _, name := range f.names() {
+			n := f.running[name]
+			want := fmt.Sprintf("has version %d, and this program supports %d", entryVersion+1, entryVersion)
+			if n.Broken() == nil || !strings.Contains(n.Broken().Error(), want) {
+				t.Errorf("%s: %s was not stopped by the entry: %v", when, name, n.Broken())
+			}
+			if target := n.forwardTarget(&Message{}); target != "" {
+				t.Errorf("%s: %s sends requests on to %s", when, name, target)
+			}
+			if _, found := n.stateMachine.Lease("later"); found {
+				t.Errorf("%s: %s applied a command of the entry", when, name)
+			}
+		}
+	}
 	f.advance(time.Second)
+	checkStopped("running")
 	for _, name := range f.names() {
-		n := f.running[name]
-		if n.Broken() == nil || !strings.Contains(n.Broken().Error(), "has version 2,") || n.IsLeader() && n.forwardTarget(&Message{}) == name {
-			t.Errorf("%s was not stopped by the entry: %v", name, n.Broken())
-		}
 		f.startNode(name)
 	}
 	f.advance(5 * time.Second)
-	if f.running["n0"].Broken() == nil {
-		t.Error("the voter was not stopped by the entry after a restart")
+	checkStopped("restarted")
+}
+
+// A message of a kind that this program does not know must be rejected for its kind, whatever else it holds, and however
+// large the number is: read as another kind it would be acted on.
+func TestMessageOfUnknownKindIsRejected(t *testing.T) {
+	voters := &VoterSet{Founding: 9, Index: 4, Rows: []VoterInfo{{ID: 1, Name: "a"}}}
+	acquire := lease.Command{Op: lease.Acquire, Lease: "l", Holder: newHolder("n0", 5), Seq: 1, TTL: time.Second}
+	rest, err := AppendMessage(nil, &Message{ // all that any kind requires
+		From: "n0", Origin: "n0", Founding: 9, ID: 5, VoterSet: voters, Voter: &consensus.Message{From: 1, To: 2},
+		Command:          &ForwardedCommand{Command: acquire, Origin: "n0"},
+		Answer:           &lease.Answer{Outcome: lease.Granted, Lease: "l", Token: 1},
+		MaintenanceTable: []byte("t"),
+	})
+	if err != nil {
+		t.Fatal(err)
 	}
-	// A message of an unknown kind must be rejected.
-	b, _ := AppendMessage(nil, &Message{Kind: NoVotersKnown + 1, From: "n0"})
-	if _, err := ParseMessage(b); err == nil {
-		t.Error("a message of an unknown kind was parsed")
+	for kind := uint64(1); kind < 1<<10; kind++ {
+		m, err := ParseMessage(append(protofields.AppendUint(nil, 1, kind), rest...))
+		switch known := kind <= uint64(lastKind); {
+		case known && (err != nil || m.Kind != Kind(kind)):
+			t.Errorf("kind %d: %v, %v", kind, m, err)
+		case !known && (err == nil || !strings.Contains(err.Error(), fmt.Sprint("unknown message kind ", kind))):
+			t.Errorf("kind %d is not known, but the error is %v", kind, err)
+		}
 	}
 }
 
