Name the file and byte, or the row, that a saved lease log is distrusted for

Callers: a voter whose hard state was gone from its disk went on at term 0 without its vote and could vote again in a term that it had voted in.

Change: load returns a RowError with table, key and what is wrong, with the byte of a field that can't be read; it is in Loaded beside the reason.

What reaches this layer: the store's checksums cover each record, so that of a damaged row only the absence does.

TestSavedStateIsLoaded drew updates without the hard state that raises term or commit, which raft does not do; it now saves the hard state with them, and draws entries of the same term without it.

--- a/internal/fleet/raftstore/store.go
+++ b/internal/fleet/raftstore/store.go
@@ -44,6 +44,7 @@
 	// DistrustReason says why the state must not be trusted; "": it can be. Otherwise State holds the voter ID
 	// alone.
 	DistrustReason string
+	RowError       *RowError // the first row that is missing or can't be read; nil: all can
 }
 
 // Store keeps a voter's persistent state.
@@ -68,7 +69,8 @@
 		reasons = append(reasons, err.Error())
 	}
 	if len(reasons) > 0 {
-		loaded = Loaded{State: consensus.PersistentState{ID: loaded.State.ID}, DistrustReason: strings.Join(reasons, "; ")}
+		state := consensus.PersistentState{ID: loaded.State.ID}
+		loaded = Loaded{State: state, DistrustReason: strings.Join(reasons, "; "), RowError: err}
 	}
 	return s, loaded
 }
@@ -83,18 +85,22 @@
 }
 
 // load reads the persistent state from the rows.
-func (s *Store) load() (loaded Loaded, err error) {
+func (s *Store) load() (loaded Loaded, _ *RowError) {
 	b := s.store.Get(tableVoter, rowID)
 	if b == nil {
 		loaded.UserData = s.store.Get(tableVoter, rowUserData)
 		if s.store.Len() > 1 || s.store.Len() == 1 && loaded.UserData == nil {
-			return loaded, errors.New("raftstore: there are rows, but no voter ID")
+			return loaded, rowErrorf(tableVoter, rowID, "it is missing, and there are other rows")
 		}
 		return loaded, nil
 	}
 	state := &loaded.State
-	if state.ID, err = decodeUint64(b); err != nil || state.ID == 0 {
-		return loaded, fmt.Errorf("raftstore: the voter ID is invalid: %x", b)
+	var err error
+	if state.ID, err = decodeUint64(b); err != nil {
+		return loaded, rowErrorf(tableVoter, rowID, "%w: %x", err, b)
+	}
+	if state.ID == 0 {
+		return loaded, rowErrorf(tableVoter, rowID, "the voter ID is 0")
 	}
 	loaded.UserData = s.store.Get(tableVoter, rowUserData)
 	state.Boots = map[uint64]uint64{}
@@ -102,78 +108,116 @@
 		id, err := decodeUint64([]byte(key))
 		boot, err2 := decodeUint64(s.store.Get(tableBoots, key))
 		if err = cmp.Or(err, err2); err != nil {
-			return loaded, fmt.Errorf("raftstore: decode start of a voter: %w", err)
+			return loaded, rowErrorf(tableBoots, key, "%w", err)
 		}
 		state.Boots[id] = boot
 	}
 	if b := s.store.Get(tableVoter, rowHard); b != nil {
 		state.Hard = &raftpb.HardState{}
-		if err := proto.Unmarshal(b, state.Hard); err != nil {
-			return loaded, fmt.Errorf("raftstore: decode hard state: %w", err)
+		if err := unmarshalRow(tableVoter, rowHard, b, state.Hard); err != nil {
+			return loaded, err
 		}
 	}
 	if err := s.loadSnapshot(state); err != nil {
 		return loaded, err
 	}
-	return loaded, s.loadEntries(state)
+	if err := s.loadEntries(state); err != nil {
+		return loaded, err
+	}
+	return loaded, checkHardState(state)
+}
+
+// checkHardState returns an error if the hard state is missing or older than the snapshot and the entries: the voter
+// may have voted since, and would not know it. Each Update that raises one of them has the hard state with it.
+func checkHardState(state *consensus.PersistentState) *RowError {
+	term, commit := state.Snapshot.GetMetadata().GetTerm(), state.Snapshot.GetMetadata().GetIndex()
+	if last := len(state.Entries); last > 0 {
+		term = max(term, state.Entries[last-1].GetTerm())
+	}
+	if state.Hard == nil && term > 0 {
+		return rowErrorf(tableVoter, rowHard, "it is missing, and the log has reached term %d", term)
+	}
+	if state.Hard.GetTerm() < term {
+		return rowErrorf(tableVoter, rowHard, "its term is %d, and the log has reached term %d", state.Hard.GetTerm(), term)
+	}
+	if state.Hard.GetCommit() < commit {
+		return rowErrorf(tableVoter, rowHard, "it is committed up to index %d, and the snapshot ends at %d",
+			state.Hard.GetCommit(), commit)
+	}
+	return nil
 }
 
-func (s *Store) loadSnapshot(state *consensus.PersistentState) error {
+func (s *Store) loadSnapshot(state *consensus.PersistentState) *RowError {
 	keys := s.store.Keys(tableChunks)
 	s.chunks = len(keys)
 	b := s.store.Get(tableVoter, rowSnapshot)
 	if b == nil {
 		if len(keys) > 0 {
-			return errors.New("raftstore: there are chunks, but no snapshot")
+			return rowErrorf(tableVoter, rowSnapshot, "it is missing, and there are %d chunks", len(keys))
 		}
 		return nil
 	}
 	state.Snapshot = &raftpb.Snapshot{}
-	if err := proto.Unmarshal(b, state.Snapshot); err != nil {
-		return fmt.Errorf("raftstore: decode snapshot: %w", err)
+	if err := unmarshalRow(tableVoter, rowSnapshot, b, state.Snapshot); err != nil {
+		return err
+	}
+	if state.Snapshot.GetMetadata().GetIndex() == 0 {
+		return rowErrorf(tableVoter, rowSnapshot, "it has no index")
 	}
 	chunks, err := decodeUint64(state.Snapshot.GetData()) // the number of chunks is stored in place of the data
-	if err != nil || chunks != uint64(len(keys)) {
-		return fmt.Errorf("raftstore: the snapshot has %d of %d chunks", len(keys), chunks)
+	if err != nil {
+		return rowErrorf(tableVoter, rowSnapshot, "the number of chunks: %w", err)
+	}
+	if chunks != uint64(len(keys)) {
+		return rowErrorf(tableVoter, rowSnapshot, "it has %d of %d chunks", len(keys), chunks)
 	}
 	state.Snapshot.Data = nil
 	for i, key := range keys {
 		if key != encodeUint64(uint64(i)) {
-			return fmt.Errorf("raftstore: the snapshot lacks chunk %d", i)
+			return rowErrorf(tableChunks, encodeUint64(uint64(i)), "it is missing")
 		}
-		state.Snapshot.Data = append(state.Snapshot.Data, s.store.Get(tableChunks, key)...)
+		chunk := s.store.Get(tableChunks, key)
+		if i < len(keys)-1 && len(chunk) != chunkBytes {
+			return rowErrorf(tableChunks, key, "it has %d bytes, want %d", len(chunk), chunkBytes)
+		}
+		state.Snapshot.Data = append(state.Snapshot.Data, chunk...)
 	}
 	return nil
 }
 
-func (s *Store) loadEntries(state *consensus.PersistentState) error {
+func (s *Store) loadEntries(state *consensus.PersistentState) *RowError {
 	firstIndex := state.Snapshot.GetMetadata().GetIndex() + 1
 	keys := s.store.Keys(tableEntries)
 	for i, key := range keys {
 		index, err := decodeUint64([]byte(key))
 		if err != nil {
-			return fmt.Errorf("raftstore: decode entry index: %w", err)
+			return rowErrorf(tableEntries, key, "its index: %w", err)
 		}
 		if i == 0 {
 			s.firstIndex, s.lastIndex = index, index-1
 		}
 		if index != s.lastIndex+1 {
-			return fmt.Errorf("raftstore: entries %d to %d are missing", s.lastIndex+1, index-1)
+			return rowErrorf(tableEntries, encodeUint64(s.lastIndex+1), "it is missing, the next one is %d", index)
 		}
 		s.lastIndex = index
 		entry := &raftpb.Entry{}
-		if err := proto.Unmarshal(s.store.Get(tableEntries, key), entry); err != nil || entry.GetIndex() != index {
-			return fmt.Errorf("raftstore: entry %d can't be decoded or has another index: %v", index, err)
+		if err := unmarshalRow(tableEntries, key, s.store.Get(tableEntries, key), entry); err != nil {
+			return err
+		}
+		if entry.GetIndex() != index {
+			return rowErrorf(tableEntries, key, "its value has index %d", entry.GetIndex())
 		}
 		if index >= firstIndex {
 			state.Entries = append(state.Entries, entry)
 		}
 	}
 	if len(state.Entries) > 0 && state.Entries[0].GetIndex() != firstIndex {
-		return fmt.Errorf("raftstore: the snapshot ends at index %d, but the entries start at %d", firstIndex-1, state.Entries[0].GetIndex())
+		return rowErrorf(tableEntries, encodeUint64(firstIndex),
+			"it is missing, the snapshot ends before it and the first entry is %d", state.Entries[0].GetIndex())
 	}
 	if lastIndex := firstIndex - 1 + uint64(len(state.Entries)); state.Hard.GetCommit() > lastIndex {
-		return fmt.Errorf("raftstore: entries up to index %d are committed, but the last one stored is %d", state.Hard.GetCommit(), lastIndex)
+		return rowErrorf(tableEntries, encodeUint64(lastIndex+1), "it is missing, and entries up to %d are committed",
+			state.Hard.GetCommit())
 	}
 	return nil
 }
--- a/internal/fleet/raftstore/store_test.go
+++ b/internal/fleet/raftstore/store_test.go
@@ -132,12 +132,14 @@
 				if first := model.Snapshot.GetMetadata().GetIndex() + 1; rng.IntN(4) == 0 && from > first {
 					from = first + uint64(rng.IntN(int(from-first)))
 				}
-				term++
+				term += uint64(rng.IntN(2))
 				last = from + uint64(rng.IntN(5))
 				update.Entries = newEntries(from, last, term, rng)
 			}
-			if rng.IntN(2) == 0 {
-				update.Hard = &raftpb.HardState{Term: proto.Uint64(term), Commit: proto.Uint64(model.Snapshot.GetMetadata().GetIndex())}
+			// As raft does, the hard state is saved with what raises it.
+			commit := max(model.Snapshot.GetMetadata().GetIndex(), update.Snapshot.GetMetadata().GetIndex())
+			if rng.IntN(2) == 0 || term > model.Hard.GetTerm() || commit > model.Hard.GetCommit() {
+				update.Hard = &raftpb.HardState{Term: proto.Uint64(term), Commit: proto.Uint64(commit)}
 			}
 			before := stateText(&model)
 			sizes := maps.Clone(f.synced)
@@ -214,6 +216,7 @@
 	checkDamage("the last entry, which is committed", deleteRow(tableEntries, encodeUint64(19)))
 	checkDamage("the first entry", deleteRow(tableEntries, encodeUint64(2)))
 	checkDamage("the voter ID", deleteRow(tableVoter, rowID))
+	checkDamage("the hard state", deleteRow(tableVoter, rowHard))
 	checkDamage("the snapshot", deleteRow(tableVoter, rowSnapshot))
 	checkDamage("a byte in the middle of the journal", func(f *folder, _ *store.Store) {
 		for name, b := range f.files {
--- a/internal/store/record.go
+++ b/internal/store/record.go
@@ -98,6 +98,7 @@
 	records        []record
 	damagedBytes   int  // bytes between intact records
 	truncatedBytes int  // bytes after the last intact record: most likely a torn write
+	firstProblem   int  // offset of the first byte that is in no intact record; the file's size if there is none
 	complete       bool // it is a snapshot with all its rows
 	problem        string
 }
@@ -110,9 +111,11 @@
 	// Records in complete commits, and the bytes of intact records and of damage after them.
 	committed, pendingBytes, gapBytes := 0, 0, 0
 	skippedBytes := 0
+	result.firstProblem = len(data)
 	for offset := 0; offset < len(data); {
 		entry, size, ok := readRecord(data[offset:], generation)
 		if !ok {
+			result.firstProblem = min(result.firstProblem, offset)
 			next := bytes.Index(data[offset+1:], []byte(magic))
 			if next < 0 {
 				result.truncatedBytes = skippedBytes + len(data) - offset
@@ -149,6 +152,7 @@
 			if len(entry.value) != 8 || binary.LittleEndian.Uint64(entry.value) != uint64(len(result.records)-committed) {
 				result.records = result.records[:committed]
 				result.damagedBytes += pendingBytes
+				result.firstProblem = min(result.firstProblem, offset-size)
 			}
 			result.damagedBytes += gapBytes // an intact record follows, so it is no torn write
 			committed, pendingBytes, gapBytes = len(result.records), 0, 0
--- a/internal/store/report.go
+++ b/internal/store/report.go
@@ -19,11 +19,18 @@
 	DamagedBytes        int      // damaged bytes that were skipped
 	TruncatedBytes      int      // bytes of torn writes
 	IncompleteSnapshots int      // snapshots without all their rows
+	Damage              []Damage // of each file with damaged bytes, and of each incomplete snapshot
 	Notes               []string // problems, one line each
 	// NoSnapshot: there are files, but no complete snapshot. Rows may be missing, or deleted ones restored.
 	NoSnapshot bool
 }
 
+// Damage says where a file begins to be damaged, or where an incomplete snapshot ends.
+type Damage struct {
+	File   string
+	Offset int // in bytes
+}
+
 // String returns the report on one line.
 func (r Report) String() string {
 	text := fmt.Sprintf("generation %d, %d rows", r.Generation, r.Rows)
@@ -36,6 +43,9 @@
 	if r.NoSnapshot {
 		text += ", no whole snapshot"
 	}
+	for _, damage := range r.Damage {
+		text += fmt.Sprintf(", %s damaged or cut at byte %d", damage.File, damage.Offset)
+	}
 	if len(r.Notes) > 0 {
 		text += ": " + strings.Join(r.Notes, "; ")
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -164,6 +164,9 @@
 			continue
 		}
 		report.DamagedBytes, report.TruncatedBytes = report.DamagedBytes+scanned.damagedBytes, report.TruncatedBytes+scanned.truncatedBytes
+		if scanned.damagedBytes > 0 || snapshot && !scanned.complete {
+			report.Damage = append(report.Damage, Damage{File: name, Offset: scanned.firstProblem})
+		}
 		files = append(files, loadedFile{generation, journal, scanned})
 	}
 	snapshotGeneration, hasSnapshot := uint64(0), false
