Count a long poll's answer as old as the poll if the queue is full

Requests went to servers whose loss had counted as delivered for 1.4 s, with the list taken for confirmed: 1 of 16 breaches in three traced runs of TestZoneReturnsBeforeASlowDiscovery. Its node was answered with 194 changes after 10.8 s, and its next call was rejected at once. The answer counted as 3 s old, so that the list stayed confirmed for 3.0 s more; it was over 5 s old.

Cause: the 3 s are the longest that a call waits in the queue of discovery. The answer to an open long poll has no such limit.

A call that finds the queue full now shows that the answer before it may have waited since its poll began: the list counts as current as of that time, and as confirmed for 6 s from then.

TestFullQueueShowsThatAnAnswerMayBeOld fails without the change ("confirmed until 33s, want 19s and 25s").

--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -104,7 +104,7 @@
 	// With pushed lists, an agent that does not answer has nothing new either; a partial
 	// answer shows that it has.
 	if l.settings.MustSubscribe || f.Reason == endpoints.PartialAnswer {
-		m.ConfirmedUntil = l.confirmation.RecordFailure(l.now, f)
+		m.AsOf, m.ConfirmedUntil = l.confirmation.RecordFailure(l.now, f)
 	}
 	l.trace.noList(f, l.lastGeneration, m.ConfirmedUntil-l.now)
 	if unavailable := l.view.ApplyPartial(l.now, u.Unavailable); len(unavailable) > 0 {
