--- a/internal/rig/virtual/registry_fleet_test.go
+++ b/internal/rig/virtual/registry_fleet_test.go
@@ -50,6 +50,7 @@
 	registryMoves   []time.Duration // times at which all nodes get a new address of the registry
 	pollSilences    []time.Duration // times at which open polls lose their connection without notice
 	externalBursts  []externalBurst // of clients outside the fleet
+	release         *release        // nil: the nodes get no requests
 	randomWallClock bool            // randomizes the wall clock, which determines the nodes' turns
 }
 
@@ -122,6 +123,9 @@
 				registry: &r.registryService, tier: tier, resubscribeWithin: r.day.resubscribeWithin,
 				position: endpoints.FleetPosition{NodeIndex: i, NodeCount: nodes, Tier: tier, ResubscribeWithin: r.day.resubscribeWithin},
 			}
+			if r.day.release != nil {
+				n.sender = newSender(n, r.day.release, r.seed)
+			}
 			r.nodes = append(r.nodes, n)
 			r.events.At(r.randomUpTo(startPeriod), func() { r.startNode(n) })
 		}
--- a/internal/rig/virtual/registry_node_test.go
+++ b/internal/rig/virtual/registry_node_test.go
@@ -69,6 +69,7 @@
 	pending           []pendingChange
 	deliveries        []delivery
 	newestDeliveredAt time.Duration
+	sender            *sender // nil: the node gets no requests
 }
 
 // start starts the node's process, with the list of the previous one.
@@ -78,6 +79,9 @@
 	n.alive, n.startedAt = true, s.now
 	n.position.Seed = seed
 	n.client = newRegistryClient(s.now, s.wallStart, n.position, n.resubscribeWithin, random)
+	if n.sender != nil {
+		n.sender.start(seed)
+	}
 	n.setState(unanswered)
 	n.retryAfter(n.client.handleStart(s.now), n.client.startDelay)
 }
@@ -140,6 +144,13 @@
 			n.handleTimeout()
 		}
 	})
+	if n.sender != nil && wait > endpoints.PollAcceptedAfter {
+		s.after(endpoints.PollAcceptedAfter, func() {
+			if !call.ended {
+				n.sender.handleOpenPoll()
+			}
+		})
+	}
 	s.handleCall(call)
 }
 
@@ -175,6 +186,9 @@
 	n.noteContact()
 	fullList := c.fetchesFullList || s.lists[n.tier].fullAnswers && changed
 	delay := n.client.handleAnswer(s.now, fullList, endpoints.Answer{Took: s.now - c.startedAt, Whole: c.fetchesFullList, Changed: changed})
+	if n.sender != nil {
+		n.sender.handleAnswer(c, version, delay > 0)
+	}
 	incarnation := n.incarnation
 	s.after(networkDelay+delay, func() { n.pollIfAlive(incarnation) })
 }
@@ -182,12 +196,18 @@
 // handleFailure processes a failed call.
 func (n *fleetNode) handleFailure(c *registryCall, failure callFailure) {
 	n.endCall()
+	if n.sender != nil {
+		n.sender.handleFailure(c, [...]endpoints.FailureReason{endpoints.Overloaded, endpoints.Unreachable, endpoints.PollReset}[failure])
+	}
 	n.setState(unanswered)
 	n.retryAfter(n.client.handleFailure(n.registry.now, n.registry.now-c.startedAt, n.registry.lists[n.tier].totalLines, failure), 0)
 }
 
 // handleTimeout processes a call that timed out.
 func (n *fleetNode) handleTimeout() {
+	if n.sender != nil {
+		n.sender.handleFailure(n.call, endpoints.PollTimedOut)
+	}
 	n.endCall()
 	n.setState(unanswered)
 	n.client.handleTimeout()
@@ -197,6 +217,9 @@
 // handleMove processes a new address of the registry: the open call is repeated there.
 func (n *fleetNode) handleMove() {
 	delay := n.client.handleMove()
+	if n.sender != nil {
+		n.sender.handleMove()
+	}
 	if n.call == nil {
 		return
 	}
