Play half of the servers of all zones leaving before a busy discovery

A known failure by reading: mayLeaveWithZone needs a zone that does not leave. TestHalfOfAllZonesLeaves is TestZoneLeavesALargeFleet with every other server of each zone in place of a zone.

--- a/internal/rig/lab/release_test.go
+++ b/internal/rig/lab/release_test.go
@@ -9,7 +9,7 @@
 	"curlewring/internal/rig/standin"
 )
 
-// zoneRelease is a fleet in which all servers of a zone drain almost together and are replaced. With
+// zoneRelease is a fleet in which half of the servers, by default a zone, drain almost together and are replaced. With
 // faultKind "drain" a server rejects new requests while it drains. Discovery takes seconds to write so many
 // changes to all nodes.
 type zoneRelease struct {
@@ -17,6 +17,7 @@
 	servers       int
 	lineRate      float64       // lines per second that discovery can write
 	replacedAfter time.Duration // time after which a new process takes a server's address
+	allZones      bool          // every other server of all zones leaves in place of one zone
 }
 
 const (
@@ -38,8 +39,12 @@
 	zone := z.servers / sites
 	for i := range zone {
 		step := i * releaseSteps / zone
+		server := i * sites
+		if z.allZones { // servers of all sites in turn
+			server += i % sites
+		}
 		o.Faults = append(o.Faults, standin.Fault{
-			Kind: z.faultKind, Server: fmt.Sprint(i * sites), At: releaseStart + time.Duration(step)*releaseInterval, Duration: z.replacedAfter,
+			Kind: z.faultKind, Server: fmt.Sprint(server), At: releaseStart + time.Duration(step)*releaseInterval, Duration: z.replacedAfter,
 		})
 	}
 	capacity := registry.Settings{LinesPerSecond: z.lineRate, LinesPerCall: linesPerCall, QueueTimeout: 2 * time.Second, BacklogFactor: 1}
@@ -74,3 +79,12 @@
 		})
 	}
 }
+
+// The same with half of the servers of each zone, so that no zone is left to use in place of one that leaves.
+func TestHalfOfAllZonesLeaves(t *testing.T) {
+	for name, replaced := range map[string]time.Duration{"replaced soon": 4 * time.Second, "replaced late": 7 * time.Second} {
+		t.Run(name, func(t *testing.T) {
+			zoneRelease{faultKind: "leave", servers: 1600, lineRate: 3840, replacedAfter: replaced, allZones: true}.run(t)
+		})
+	}
+}
