Split the view of the list by job: anomalies, removals, holds, addresses

Its functions move unchanged to four files beside it; the comment of ServingCount names the function.

--- a/internal/servers/endpoints/view.go
+++ b/internal/servers/endpoints/view.go
@@ -77,73 +77,6 @@
 	anomalies         []Anomaly
 }
 
-// forgottenRemovals describes the removed servers that have no record any more.
-type forgottenRemovals struct {
-	generation uint64        // highest departureGeneration
-	started    time.Duration // latest start time
-	heldUntil  time.Duration // end of RollbackDelay from the first of the older lists; 0: the newest list is not older
-}
-
-// add extends the description by a server.
-func (f *forgottenRemovals) add(r *serverRecord) {
-	f.generation, f.started = max(f.generation, r.departureGeneration), max(f.started, r.Started)
-}
-
-// recordList notes whether a list is older than the removals. Discovery may have been restored from a backup: if all its
-// lists are older, they are believed after rollbackDelay.
-func (f *forgottenRemovals) recordList(info *listInfo, rollbackDelay time.Duration) {
-	if info.generation >= f.generation {
-		f.heldUntil = 0
-	} else if f.heldUntil == 0 {
-		f.heldUntil = info.receivedAt + rollbackDelay
-	}
-}
-
-// mayInclude reports whether a server without a record may have been removed after the recorded list.
-func (f *forgottenRemovals) mayInclude(info *listInfo, e *Entry) bool {
-	return info.receivedAt < f.heldUntil && e.Started <= f.started
-}
-
-// listInfo describes the list whose entries are being processed.
-type listInfo struct {
-	receivedAt   time.Duration
-	generation   uint64
-	backwards    bool // it is older than the list before it
-	aboveHighest bool // its generation is above the highest so far
-}
-
-// olderThan reports whether the list is older than a generation.
-func (l *listInfo) olderThan(generation uint64) bool { return l.backwards || l.generation < generation }
-
-// AnomalyKind classifies an anomaly of a list.
-type AnomalyKind string
-
-// The kinds of anomalies. Logs and operators' tools use these texts.
-const (
-	GenerationRollback AnomalyKind = "the generation runs backwards"
-	MassRemoval        AnomalyKind = "most servers are gone at once"
-	EmptyList          AnomalyKind = "the whole list is empty"
-	Flapping           AnomalyKind = "a server comes and goes"
-	DuplicateEntry     AnomalyKind = "a server stands in one list twice"
-	AddressConflict    AnomalyKind = "two servers are said to be at one address"
-	ReturnInOlderList  AnomalyKind = "an older list brings a server back"
-)
-
-// Anomaly is an inconsistency in a list, or between a list and those before it.
-type Anomaly struct {
-	Kind AnomalyKind
-	ID   string // of the server; "": concerns the list as a whole
-	Text string
-}
-
-// String formats the anomaly for logs.
-func (a Anomaly) String() string {
-	if a.ID == "" {
-		return fmt.Sprintf("%s: %s", a.Kind, a.Text)
-	}
-	return fmt.Sprintf("%s: %s: %s", a.Kind, a.ID, a.Text)
-}
-
 // Update is the result of applying a list.
 type Update struct {
 	Changes      []Entry   // to apply now; valid until the next call of the View
@@ -190,21 +123,7 @@
 	v.hasList = l.Generation > 0
 }
 
-// KeepDepartures changes the entries of a list from before a partial answer: what the answer reported as draining or
-// removed stays so, except for newer processes.
-func (v *View) KeepDepartures(entries []Entry) {
-	for i := range entries {
-		e := &entries[i]
-		if r := v.records[e.ID]; r != nil && r.Health > e.Health && r.Started >= e.Started {
-			e.Health = r.Health
-		}
-	}
-}
-
-// HighestGeneration returns the highest generation of any list or partial answer, including those from before Restore.
-func (v *View) HighestGeneration() uint64 { return max(v.highestGeneration, v.departuresUpTo) }
-
-// Serving returns how many servers are published as serving.
+// ServingCount returns how many servers are published as serving.
 func (v *View) ServingCount() int { return v.serving }
 
 // Len returns how many servers have a record, including removed ones.
@@ -266,31 +185,6 @@
 	return v.changes
 }
 
-// ReleaseDue publishes the held servers whose delay is over.
-func (v *View) ReleaseDue(now time.Duration) []Entry {
-	v.changes = v.changes[:0]
-	for id := range v.held.All() {
-		r := v.records[id]
-		if r.heldUntil > now {
-			continue
-		}
-		v.endHold(r)
-		r.lastTransition = now
-		v.admit(r)
-	}
-	return v.changes
-}
-
-// NextRelease returns when ReleaseDue has work to do next, and false if no server is held.
-func (v *View) NextRelease() (at time.Duration, ok bool) {
-	for id := range v.held.All() {
-		if r := v.records[id]; !ok || r.heldUntil < at {
-			at, ok = r.heldUntil, true
-		}
-	}
-	return at, ok
-}
-
 // Published returns the servers that are published and not removed, sorted by ID.
 func (v *View) Published() []Entry {
 	var all []Entry
@@ -326,11 +220,6 @@
 	return decide.Removed
 }
 
-// reportAnomaly adds an anomaly to the current update.
-func (v *View) reportAnomaly(k AnomalyKind, id, text string) {
-	v.anomalies = append(v.anomalies, Anomaly{k, id, text})
-}
-
 // publish sets the published health of a server and adds the change to the current update.
 func (v *View) publish(r *serverRecord, h decide.Health) {
 	if r.published == decide.Healthy {
@@ -514,92 +403,3 @@
 	r.Entry = updated
 	v.admit(r)
 }
-
-// holdReturn holds back a server that a list reports as serving although it departed after that list.
-func (v *View) holdReturn(info *listInfo, r *serverRecord) {
-	v.reportAnomaly(ReturnInOlderList, r.ID, fmt.Sprintf("held for %v or until a newer list arrives", v.settings.RollbackDelay))
-	v.hold(r, info.receivedAt+v.settings.RollbackDelay)
-	r.endsWithNewerList = true
-}
-
-// admitUnlessFlapping publishes a server whose return is counted already, or holds it back if it returns too often. A
-// hold that ended just before counts towards MaxDelay.
-func (v *View) admitUnlessFlapping(info *listInfo, r *serverRecord) {
-	excess := r.returnCount - v.settings.FlapThreshold
-	if excess <= 0 {
-		v.admit(r)
-		return
-	}
-	delay := min(v.settings.FlapInitialDelay<<min(excess-1, 16), v.settings.FlapMaxDelay)
-	v.reportAnomaly(Flapping, r.ID, fmt.Sprintf("%d returns, held for %v", r.returnCount, delay))
-	v.hold(r, min(info.receivedAt+delay, r.lastTransition+v.settings.MaxDelay()))
-}
-
-// hold holds back a server until a time.
-func (v *View) hold(r *serverRecord, until time.Duration) {
-	r.heldUntil = until
-	v.held.Add(r.ID)
-}
-
-// endHold ends the hold of a server, if there is one.
-func (v *View) endHold(r *serverRecord) {
-	r.heldUntil, r.endsWithNewerList = 0, false
-	v.held.Delete(r.ID)
-}
-
-// admit publishes a server as serving, unless a newer process has its address.
-func (v *View) admit(r *serverRecord) {
-	v.endSuperseded(r)
-	if id, ok := v.addressOwners[r.Address]; ok && id != r.ID {
-		other := v.records[id]
-		v.reportAnomaly(AddressConflict, r.ID, fmt.Sprintf("%s is at %s too", id, r.Address))
-		switch {
-		case r.Started > other.Started && other.Started > 0:
-			v.publish(other, decide.Draining)
-			v.supersede(other, r.ID)
-		case r.Started < other.Started && r.Started > 0:
-			v.supersede(r, id)
-			if r.published != decide.Draining {
-				v.publish(r, decide.Draining)
-			}
-			return
-		}
-	}
-	r.departureGeneration = 0
-	v.publish(r, decide.Healthy)
-}
-
-// supersede marks a server whose address belongs to a newer process.
-func (v *View) supersede(r *serverRecord, by string) {
-	r.supersededBy = by
-	v.superseded.Add(r.ID)
-}
-
-// endSuperseded clears that mark, if it is set.
-func (v *View) endSuperseded(r *serverRecord) {
-	r.supersededBy = ""
-	v.superseded.Delete(r.ID)
-}
-
-// restoreSuperseded publishes servers again whose address the newer process has left.
-func (v *View) restoreSuperseded() {
-	for id := range v.superseded.All() {
-		r := v.records[id]
-		if v.Health(r.supersededBy) == decide.Healthy && v.records[r.supersededBy].Address == r.Address {
-			continue
-		}
-		v.endSuperseded(r)
-		v.publish(r, decide.Healthy)
-	}
-}
-
-// addTombstone marks a server as removed and forgets the oldest removals beyond the limit.
-func (v *View) addTombstone(r *serverRecord) {
-	v.tombstones.Add(r.ID)
-	for v.tombstones.Len() > v.settings.MaxTombstones {
-		oldest, _ := v.tombstones.Oldest()
-		v.forgotten.add(v.records[oldest])
-		v.tombstones.Delete(oldest)
-		delete(v.records, oldest)
-	}
-}
