Count the closes beside waiting events from the moment of the offer

What was seen: TestExpiryDoesNotStallLiveTraffic failed once with 305 connections closed while events were waiting, 300 allowed, at a load average of 33.

What was wrong in the test: it says that waits for the machine are not the server's, but the transport read the number of closes, and only then offered the batch. Where its goroutine had to wait for a processor in between, the closes of that time counted, though the server had no event to take.

Change: the count and the offer are one step under the lock that closes take, by a channel that holds the batch, and the count ends when the server begins the wait in which it takes the batch. Bounds and load are as they were. The closes of the turn that handles the batch no longer count by chance.

--- a/internal/node/front/load_test.go
+++ b/internal/node/front/load_test.go
@@ -207,13 +207,6 @@
 	return latencies, closes
 }
 
-// closeCount returns how many connections the server has closed.
-func (m *memoryTransport) closeCount() int {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.closes
-}
-
 func heap() uint64 {
 	runtime.GC()
 	runtime.GC()
--- a/internal/node/front/memory_transport_test.go
+++ b/internal/node/front/memory_transport_test.go
@@ -22,6 +22,8 @@
 	done        chan struct{}
 	stop        chan struct{}
 	closes      int
+	offeredAt   int                      // closes when the present batch was offered
+	selectedAt  int                      // closes when the server last began to wait for a batch
 	closeTime   time.Duration            // how long a close takes
 	onDelivered func(closes int)         // called with the connections closed while a batch waited
 	onWrite     func(id int32, p []byte) // if set, receives what the server writes, in place of memoryConn.written
@@ -42,7 +44,7 @@
 
 func newMemory() *memoryTransport {
 	return &memoryTransport{
-		wake: make(chan struct{}, 1), out: make(chan []Event), done: make(chan struct{}), stop: make(chan struct{}),
+		wake: make(chan struct{}, 1), out: make(chan []Event, 1), done: make(chan struct{}), stop: make(chan struct{}),
 	}
 }
 
@@ -60,13 +62,7 @@
 				return
 			}
 		}
-		before := m.closeCount()
-		select {
-		case m.out <- batch:
-		case <-m.stop:
-			return
-		}
-		m.delivered(before)
+		m.offer(batch)
 		select {
 		case <-m.done:
 		case <-m.stop:
@@ -75,14 +71,13 @@
 	}
 }
 
-// delivered reports to onDelivered a batch that the server has taken. before is the number of
-// closes when the batch was offered.
-func (m *memoryTransport) delivered(before int) {
+// offer gives a batch to the server, which has finished the last one, so that the channel is empty. The count of
+// closes belongs to the moment of the offer, however long this goroutine had to wait for a processor before it.
+func (m *memoryTransport) offer(batch []Event) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.onDelivered != nil {
-		m.onDelivered(m.closes - before)
-	}
+	m.offeredAt = m.closes
+	m.out <- batch
 }
 
 // take returns the events since the last call.
@@ -169,8 +164,21 @@
 
 // Methods for the server side, which implement Transport.
 
-func (m *memoryTransport) Events() <-chan []Event { return m.out }
+// Events is called whenever the server begins to wait: from then until it has taken a batch it closes nothing.
+func (m *memoryTransport) Events() <-chan []Event {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.selectedAt = m.closes
+	return m.out
+}
+
+// BatchDone reports to onDelivered the closes between the offer of the batch and the server's taking it.
 func (m *memoryTransport) BatchDone() {
+	m.mu.Lock()
+	if m.onDelivered != nil {
+		m.onDelivered(max(0, m.selectedAt-m.offeredAt))
+	}
+	m.mu.Unlock()
 	select {
 	case m.done <- struct{}{}:
 	case <-m.stop:
