--- a/internal/rig/lab/lab.go
+++ b/internal/rig/lab/lab.go
@@ -77,6 +77,7 @@
 	links              *nodeLinks               // relays between nodes; nil without Membership
 	pausedAt           map[string]time.Duration // when a node was paused, by node name
 	onStart            func(p *process)         // called for each node that was restarted; may be nil
+	restarts           restarts                 // nodes that are not ready yet after a restart
 	mu                 sync.Mutex               // guards the configuration files, links and pausedAt
 }
 
@@ -86,7 +87,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("lab: %w", err)
 	}
-	l := &Lab{options: o, dir: dir, specs: map[string]standin.NodeSpec{}, pausedAt: map[string]time.Duration{}, discoveryAddresses: map[string]string{}}
+	l := &Lab{restarts: newRestarts(), options: o, dir: dir, specs: map[string]standin.NodeSpec{}, pausedAt: map[string]time.Duration{}, discoveryAddresses: map[string]string{}}
 	defer func() {
 		if err != nil {
 			l.Close()
@@ -343,7 +344,9 @@
 	if err := p.start(); err != nil {
 		return err
 	}
-	l.Fleet.Judge.NodeStarted(l.Fleet.Clock.Now(), p.name)
+	if i := slices.Index(l.frontNodes, p); i >= 0 {
+		l.restarts.add(p, l.clients[i])
+	}
 	if l.onStart != nil {
 		l.onStart(p)
 	}
@@ -479,6 +482,7 @@
 
 // Close stops everything that still runs and removes the lab's files.
 func (l *Lab) Close() {
+	l.restarts.close()
 	l.stopNodes(5 * time.Second)
 	l.idle.close()
 	for _, c := range l.clients {
--- a/internal/rig/lab/zone_test.go
+++ b/internal/rig/lab/zone_test.go
@@ -18,6 +18,7 @@
 	lineRate float64 // lines per second that discovery can write
 	// Delay between the loss and its publication, and interval between publications.
 	lossPublishDelay, publishEvery time.Duration
+	nodeOutage                     time.Duration // how long the zone's nodes are down; 0: as long as the zone
 }
 
 const (
@@ -35,11 +36,12 @@
 	o.Nodes, o.Plan.Servers = z.nodes, z.servers
 	o.Plan.Registry = registry.Settings{} // no limit until all nodes are ready
 	o.Plan.CrashPublishDelay, o.Plan.PublishDelay, o.Plan.PublishEvery = z.lossPublishDelay, startPublishDelay, z.publishEvery
-	o.Traffic.Rate, o.Traffic.Duration = requestsPerNode*float64(z.nodes), zoneLossStart+zoneLossDuration+z.lossPublishDelay+8*time.Second
+	nodeOutage := max(zoneLossDuration, z.nodeOutage)
+	o.Traffic.Rate, o.Traffic.Duration = requestsPerNode*float64(z.nodes), zoneLossStart+nodeOutage+z.lossPublishDelay+8*time.Second
 	lost := o.Plan.Sites[0]
 	o.Faults = append(o.Faults, standin.Fault{Kind: "crash", Site: lost, At: zoneLossStart, Duration: zoneLossDuration})
 	for i := 0; i < z.nodes; i += len(o.Plan.Sites) { // the nodes of that site
-		o.Faults = append(o.Faults, standin.Fault{Kind: "kill", Node: fmt.Sprint(i), At: zoneLossStart, Duration: zoneLossDuration})
+		o.Faults = append(o.Faults, standin.Fault{Kind: "kill", Node: fmt.Sprint(i), At: zoneLossStart, Duration: nodeOutage})
 	}
 	capacity := registry.Settings{LinesPerSecond: z.lineRate, LinesPerCall: linesPerCall, QueueTimeout: 2 * time.Second, BacklogFactor: 2}
 	_, r, _ := runWithCapacity(t, o, capacity)
@@ -70,6 +72,11 @@
 	zoneLoss{servers: 48, nodes: 42, lineRate: 2400, lossPublishDelay: 1500 * time.Millisecond, publishEvery: 100 * time.Millisecond}.run(t)
 }
 
+// The zone's nodes return after the loss counts as delivered, with lists from before it.
+func TestZoneReturnsLongBeforeItsNodes(t *testing.T) {
+	zoneLoss{servers: 1600, nodes: 24, lineRate: 2400, lossPublishDelay: 4 * time.Second, publishEvery: 400 * time.Millisecond, nodeOutage: 12 * time.Second}.run(t)
+}
+
 // A zone of hundreds of servers is lost while discovery writes, per second, an eightieth of the lines that
 // one change of each server to each node needs. Most nodes receive the loss seconds after it counts as
 // delivered.
--- a/internal/rig/standin/client.go
+++ b/internal/rig/standin/client.go
@@ -53,10 +53,11 @@
 	clock   Clock
 	judge   *judge.Judge
 
-	mu     sync.Mutex
-	idle   []*clientConn
-	closed bool
-	opened int
+	mu          sync.Mutex
+	idle        []*clientConn
+	closed      bool
+	opened      int
+	unavailable bool // the node is restarting: nothing is sent to it
 }
 
 type clientConn struct {
@@ -81,8 +82,22 @@
 	c.idle = nil
 }
 
+// SetAvailable sets whether the node may be used. Requests to an unavailable node are not sent.
+func (c *Client) SetAvailable(available bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unavailable = !available
+}
+
+// errNodeUnavailable means that the node may not be used at the moment.
+var errNodeUnavailable = errors.New("the node is not available")
+
 func (c *Client) getConn(ctx context.Context) (*clientConn, error) {
 	c.mu.Lock()
+	if c.unavailable {
+		c.mu.Unlock()
+		return nil, errNodeUnavailable
+	}
 	if n := len(c.idle); n > 0 {
 		conn := c.idle[n-1]
 		c.idle = c.idle[:n-1]
--- a/internal/rig/standin/judge/drains.go
+++ b/internal/rig/standin/judge/drains.go
@@ -41,24 +41,6 @@
 	states[server] = append(states[server], notification{at, s, version, presumed})
 }
 
-// restartGrace is how long after its start a process that replaces a killed one is not held to presumed
-// notifications. It must ask discovery first, and knows neither the age of its list nor which servers still
-// accept work.
-const restartGrace = 2 * time.Second
-
-// processStart returns when the process that a node runs at a time replaced a killed one, and false if none
-// was killed before.
-func (c *requestCheck) processStart(at time.Duration) (startedAt time.Duration, ok bool) {
-	for _, times := range [...][]time.Duration{c.kills[c.node], c.starts[c.node]} {
-		for _, changedAt := range times {
-			if changedAt < at {
-				startedAt, ok = max(startedAt, changedAt), true
-			}
-		}
-	}
-	return startedAt, ok
-}
-
 // checkDrains checks rule 3: no attempt at a server later than the drain grace after its node was notified
 // that the server is draining or gone.
 func (c *requestCheck) checkDrains() {
@@ -75,9 +57,6 @@
 				notifiedAt = pause[1]
 			}
 		}
-		if startedAt, ok := c.processStart(a.arrivedAt); last.presumed && ok {
-			notifiedAt = max(notifiedAt, startedAt+restartGrace)
-		}
 		if last.state != Serving && c.isLate(notifiedAt+c.rules.DrainGrace, a.arrivedAt) {
 			verb := "was told"
 			if last.presumed {
--- a/internal/rig/standin/judge/judge.go
+++ b/internal/rig/standin/judge/judge.go
@@ -144,7 +144,6 @@
 	locations     map[string]Location
 	notifications map[string]map[string][]notification // by node, by server
 	kills         map[string][]time.Duration
-	starts        map[string][]time.Duration    // of processes that replaced killed ones
 	pauses        map[string][][2]time.Duration // intervals in which a node's process was suspended
 	collapses     []Breach
 	unexpected    []Breach
@@ -156,7 +155,7 @@
 	return &Judge{
 		rules: r, requests: map[string]*request{}, locations: map[string]Location{},
 		notifications: map[string]map[string][]notification{},
-		kills:         map[string][]time.Duration{}, starts: map[string][]time.Duration{}, pauses: map[string][][2]time.Duration{},
+		kills:         map[string][]time.Duration{}, pauses: map[string][][2]time.Duration{},
 	}
 }
 
@@ -257,13 +256,6 @@
 	j.kills[node] = append(j.kills[node], at)
 }
 
-// NodeStarted records that a killed node runs again.
-func (j *Judge) NodeStarted(at time.Duration, node string) {
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.starts[node] = append(j.starts[node], at)
-}
-
 // NodePaused records that a node's process was suspended between two times. What it held then may be answered
 // late or be abandoned by its client, but no attempt may be sent for it after its deadline.
 func (j *Judge) NodePaused(from, to time.Duration, node string) {
--- a/internal/rig/standin/judge/judge_test.go
+++ b/internal/rig/standin/judge/judge_test.go
@@ -301,8 +301,8 @@
 
 // A state that discovery has published for long enough counts as delivered even if it was not written. A node
 // that continues to send violates rule 3; one that stops at the last moment does not. A newer version
-// overrides an older one that counts as delivered later. A process that replaces a killed one gets
-// restartGrace to ask discovery, and then the same rule applies.
+// overrides an older one that counts as delivered later. The same rule applies to a process that replaces a
+// killed one, from its start: clients use it only once it is ready.
 func TestPresumedNotifications(t *testing.T) {
 	for _, test := range []struct {
 		name   string
@@ -335,28 +335,26 @@
 			playAttempt(j, "1", "a", 8*time.Second, 5*ms, Succeeded)
 			j.RequestEnded(8010*ms, "1", Served, "a")
 		}},
-		{"killed before", 0, func(j *Judge) {
+		{"killed before", 3, func(j *Judge) {
 			j.StateDelivered(6*time.Second, "n", "a", Draining, 1, true)
 			j.NodeKilled(5*time.Second, "n")
 			j.RequestSent(7*time.Second, "1", idempotent, "n", time.Second)
 			playAttempt(j, "1", "a", 7*time.Second, 5*ms, Succeeded)
 			j.RequestEnded(7010*ms, "1", Served, "a")
 		}},
-		{"killed before, and sends after the restart grace", 3, func(j *Judge) {
+		{"killed before, and sends after the state counts as delivered", 3, func(j *Judge) {
 			j.StateDelivered(6*time.Second, "n", "a", Draining, 1, true)
 			j.NodeKilled(3*time.Second, "n")
-			j.NodeStarted(5*time.Second, "n")
-			j.RequestSent(7560*ms, "1", idempotent, "n", time.Second)
-			playAttempt(j, "1", "a", 7561*ms, 5*ms, Succeeded)
-			j.RequestEnded(7570*ms, "1", Served, "a")
+			j.RequestSent(6560*ms, "1", idempotent, "n", time.Second)
+			playAttempt(j, "1", "a", 6561*ms, 5*ms, Succeeded)
+			j.RequestEnded(6570*ms, "1", Served, "a")
 		}},
-		{"killed before, and stops at the end of the restart grace", 0, func(j *Judge) {
+		{"killed before, and stops at the last moment", 0, func(j *Judge) {
 			j.StateDelivered(6*time.Second, "n", "a", Draining, 1, true)
 			j.NodeKilled(3*time.Second, "n")
-			j.NodeStarted(5*time.Second, "n")
-			j.RequestSent(7540*ms, "1", idempotent, "n", time.Second)
-			playAttempt(j, "1", "a", 7549*ms, 5*ms, Succeeded)
-			j.RequestEnded(7560*ms, "1", Served, "a")
+			j.RequestSent(6540*ms, "1", idempotent, "n", time.Second)
+			playAttempt(j, "1", "a", 6549*ms, 5*ms, Succeeded)
+			j.RequestEnded(6560*ms, "1", Served, "a")
 		}},
 		{"killed before, and notified again", 3, func(j *Judge) {
 			j.NodeKilled(1*time.Second, "n")
