--- a/internal/rig/lab/zone_test.go
+++ b/internal/rig/lab/zone_test.go
@@ -87,3 +87,9 @@
 func TestZoneReturnsBeforeASlowDiscovery(t *testing.T) {
 	zoneLoss{servers: 1600, nodes: 24, lineRate: 480, lossPublishDelay: 4 * time.Second, publishEvery: 400 * time.Millisecond}.run(t)
 }
+
+// The same with few servers.
+func TestSmallZoneReturnsLongBeforeItsNodes(t *testing.T) {
+	t.Parallel()
+	zoneLoss{servers: 48, nodes: 24, lineRate: 2400, lossPublishDelay: 4 * time.Second, publishEvery: 400 * time.Millisecond, nodeOutage: 12 * time.Second}.run(t)
+}
