Bind the lab's wait for readiness to one process of a node

A node that is killed again while its client waits kept the old wait. Its answer from the old process, or its end after 20 s, decided for the new one: the client could use a node that was not ready, or no longer use one that was. A client was made to wait only after the process had begun.

Change: killing or terminating a node ends the wait for it; the wait of the next process begins before that process starts, and lasts until it is ready.

Checked: TestRestartedNodeThatIsNotReady fails where the end of the wait is left out ("the client uses a node that is not ready"), and passes with it, with -race.

--- a/internal/rig/lab/lab.go
+++ b/internal/rig/lab/lab.go
@@ -77,7 +77,7 @@
 	links              *nodeLinks               // relays between nodes; nil without Membership
 	pausedAt           map[string]time.Duration // when a node was paused, by node name
 	onStart            func(p *process)         // called for each node that was restarted; may be nil
-	restarts           restarts                 // nodes that are not ready yet after a restart
+	restarts           *restarts                // nodes that are not ready yet after a restart
 	mu                 sync.Mutex               // guards the configuration files, links and pausedAt
 }
 
@@ -285,6 +285,7 @@
 	if err != nil {
 		return err
 	}
+	l.restarts.stop(p)
 	l.Fleet.Judge.NodeKilled(l.Fleet.Clock.Now(), p.name)
 	p.mu.Lock()
 	exited := p.exited
@@ -304,6 +305,7 @@
 	if err != nil {
 		return err
 	}
+	l.restarts.stop(p)
 	return p.signal(syscall.SIGTERM, true)
 }
 
@@ -341,12 +343,12 @@
 	if terminating {
 		<-exited
 	}
+	if i := slices.Index(l.frontNodes, p); i >= 0 { // before the node accepts connections
+		l.restarts.add(p, l.clients[i])
+	}
 	if err := p.start(); err != nil {
 		return err
 	}
-	if i := slices.Index(l.frontNodes, p); i >= 0 {
-		l.restarts.add(p, l.clients[i])
-	}
 	if l.onStart != nil {
 		l.onStart(p)
 	}
