Report nodes of the lab that do not get ready again after a restart

The client of such a node sends nothing, which breaks no rule, and the error of the wait was dropped.

Checked: TestRestartedNodeThatIsNotReady fails without the report ("a node that is not ready after its restart is not reported"), and passed 10 of 10 with it, with -race.

--- a/internal/rig/lab/lab.go
+++ b/internal/rig/lab/lab.go
@@ -436,6 +436,7 @@
 	if l.idle != nil && l.idle.local != nil {
 		l.idle.row.HeldAtEnd = l.idle.local.OpenConns()
 	}
+	l.restarts.finish(maxReadyTime)
 	// Graceful stop: late responses and abandoned work on the servers still complete.
 	l.stopNodes(10 * time.Second)
 	l.idle.close()
--- a/internal/rig/lab/process.go
+++ b/internal/rig/lab/process.go
@@ -119,6 +119,15 @@
 	return nil
 }
 
+// fail records a failure of the node, unless there is an earlier one.
+func (p *process) fail(err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.failure == nil {
+		p.failure = err
+	}
+}
+
 // signal sends a signal to the running child. If final, the child is expected to exit.
 func (p *process) signal(sig os.Signal, final bool) error {
 	p.mu.Lock()
--- a/internal/rig/lab/restart.go
+++ b/internal/rig/lab/restart.go
@@ -3,11 +3,16 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
+	"time"
 
 	"curlewring/internal/rig/standin"
 )
 
+// maxReadyTime is how long a restarted node may take to be ready if the run ends soon after.
+const maxReadyTime = 6 * time.Second
+
 // restarts makes clients use a restarted node only once it is ready, as the protocol says.
 type restarts struct {
 	ctx    context.Context
@@ -15,12 +20,18 @@
 	wait   sync.WaitGroup
 
 	mu      sync.Mutex
-	pending map[*process]context.CancelFunc // ends the waits for nodes that are not ready yet
+	pending map[*process]readyWait // nodes that are not ready yet
+}
+
+// readyWait is the wait for one node.
+type readyWait struct {
+	since  time.Time
+	cancel context.CancelFunc
 }
 
 func newRestarts() *restarts {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &restarts{ctx: ctx, cancel: cancel, pending: map[*process]context.CancelFunc{}}
+	return &restarts{ctx: ctx, cancel: cancel, pending: map[*process]readyWait{}}
 }
 
 // add makes the client of a node that is started next wait until it is ready.
@@ -28,7 +39,7 @@
 	r.stop(p)
 	ctx, cancel := context.WithCancel(r.ctx)
 	r.mu.Lock()
-	r.pending[p] = cancel
+	r.pending[p] = readyWait{time.Now(), cancel}
 	r.mu.Unlock()
 	client.SetAvailable(false)
 	r.wait.Go(func() {
@@ -50,12 +61,25 @@
 func (r *restarts) stop(p *process) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if cancel, ok := r.pending[p]; ok {
-		cancel()
+	if w, ok := r.pending[p]; ok {
+		w.cancel()
 		delete(r.pending, p)
 	}
 }
 
+// finish ends all waits. A node that has been waited for longer than a limit counts as failed.
+func (r *restarts) finish(limit time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for p, w := range r.pending {
+		w.cancel()
+		if waited := time.Since(w.since); waited > limit {
+			p.fail(fmt.Errorf("%s was not ready %.1f s after its restart, at the end of the run", p.name, waited.Seconds()))
+		}
+	}
+	clear(r.pending)
+}
+
 // close ends the waits.
 func (r *restarts) close() {
 	r.cancel()
--- a/internal/rig/lab/restart_test.go
+++ b/internal/rig/lab/restart_test.go
@@ -11,7 +11,8 @@
 	"curlewring/internal/rig/standin/judge"
 )
 
-// A node that is killed while its client waits must not become available by the readiness of its previous process.
+// A node that never gets ready again must fail the run: its client sends nothing, which breaks no rule. A node that is
+// killed during the wait must not become available by the readiness of its previous process.
 func TestRestartedNodeThatIsNotReady(t *testing.T) {
 	var ready atomic.Bool
 	polls, release := make(chan struct{}), make(chan struct{})
@@ -55,4 +56,8 @@
 	if available() {
 		t.Error("the client uses a node that is not ready")
 	}
+	r.finish(0)
+	if p.failure == nil {
+		t.Error("a node that is not ready after its restart is not reported")
+	}
 }
