Stay unready while the first answer of discovery is still arriving

What callers saw: a node with a short list from before its start was ready 200 ms into a first answer that takes longer, with the old list and without the changes in the answer, which count as told from its first byte.

Cause: handleNoList took every update without a list for the end of the first call, also the news of an answer that has begun (MoreExpected).

Change: such news doesn't end the wait; the answer, a failure or the limit of 4 s does.

Checked: the new case of TestReadyAfterFirstAnswer failed before ("after 1s, ready is true") and passes, with -race.

--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -122,7 +122,7 @@
 // handleNoList handles a call to discovery that returned no list, or none yet.
 func (l *loop) handleNoList(u *discovery.Update) {
 	f := u.Failure
-	if l.awaitsOneCall {
+	if l.awaitsOneCall && !u.MoreExpected { // the first call has ended
 		l.endAwaitDiscovery()
 	}
 	m := decide.ListUpdate{
--- a/internal/node/lists_test.go
+++ b/internal/node/lists_test.go
@@ -298,6 +298,7 @@
 	answer := discovery.Update{List: &endpoints.List{Generation: 1}}
 	openPoll := discovery.Update{PollAccepted: true}
 	failure := discovery.Update{Failure: endpoints.CallFailure{Reason: endpoints.Overloaded}}
+	begun := discovery.Update{Failure: endpoints.CallFailure{Reason: endpoints.PartialAnswer}, MoreExpected: true}
 	move := configReloaded{discovery: "127.0.0.1:1", done: make(chan struct{})}
 	const short, long, always, at1s = 1, 200, 0, time.Second
 	for _, test := range []struct {
@@ -310,6 +311,7 @@
 		{"short list, answer", short, false, answer, at1s},
 		{"short list, open poll", short, false, openPoll, at1s},
 		{"short list, failed call", short, false, failure, at1s},
+		{"short list, answer that has begun", short, false, begun, firstAnswerTimeout},
 		{"short list, silence", short, false, nil, firstAnswerTimeout},
 		{"long list, answer", long, false, answer, at1s},
 		{"long list, open poll", long, false, openPoll, at1s},
