Take back the wait of nodes with short lists for their first answer

Cause: the first call of a node with a list is a long poll of 3 s or more. If nothing has changed nothing is answered, and the node was not ready for 4 s after each restart.

--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -29,6 +29,8 @@
 	confirmedUntil := time.Duration(0)
 	if l.settings.MustSubscribe {
 		confirmedUntil = l.confirmation.Restore(len(stored.Entries))
+	}
+	if confirmedUntil > 0 { // the list is from before the restart
 		l.awaitDiscovery(confirmedUntil)
 	}
 	l.updateServers(stored, decide.ListStored)
@@ -37,20 +39,11 @@
 	}
 }
 
-// firstAnswerTimeout bounds how long a node with a short list waits for an answer before it is ready: its first call
-// starts in the first 2.5 s.
-const firstAnswerTimeout = 4 * time.Second
-
-// awaitDiscovery keeps the node from being ready until discovery has confirmed the list that the node starts with. How
-// long the node was down is not known: it may count as notified of changes that it has not received. The wait also ends
-// when that list no longer counts as confirmed, or without such a time when the first call fails.
-func (l *loop) awaitDiscovery(confirmedUntil time.Duration) {
+// awaitDiscovery keeps the node from being ready until discovery has confirmed the long list that the node starts with,
+// or until that list no longer counts as confirmed. How long the node was down is not known: if it was for longer than
+// the confirmation allows for, the node counts as notified of changes that it has not received.
+func (l *loop) awaitDiscovery(until time.Duration) {
 	l.awaitingDiscovery = true
-	l.awaitsOneCall = confirmedUntil == 0
-	until := confirmedUntil
-	if l.awaitsOneCall {
-		until = l.now + firstAnswerTimeout
-	}
 	l.at(until, timer{run: l.endAwaitDiscovery})
 }
 
@@ -122,9 +115,6 @@
 // handleNoList handles a call to discovery that returned no list, or none yet.
 func (l *loop) handleNoList(u *discovery.Update) {
 	f := u.Failure
-	if l.awaitsOneCall && !u.MoreExpected { // the first call has ended
-		l.endAwaitDiscovery()
-	}
 	m := decide.ListUpdate{
 		Kind: decide.ListFailed, FleetSize: l.saved.estimatedFleetSize(), PriorRate: l.saved.priorRate(),
 	}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -144,7 +144,6 @@
 	// The fields below belong to the goroutine in run.
 	mayAskDiscovery   bool // bootstrap has allowed a call to discovery
 	watchDeferred     bool // startWatch was called before mayAskDiscovery
-	awaitsOneCall     bool // awaitingDiscovery ends with the first call, whatever its result
 	awaitingDiscovery bool // the list is from before the start, and discovery has not confirmed it yet
 	now               time.Duration
 	runningAttempts   sync.WaitGroup
