--- a/internal/rig/lab/lab.go
+++ b/internal/rig/lab/lab.go
@@ -78,6 +78,7 @@
 	links              *nodeLinks               // relays between nodes; nil without Membership
 	pausedAt           map[string]time.Duration // when a node was paused, by node name
 	onStart            func(p *process)         // called for each node that was restarted; may be nil
+	restarts           *restarts                // nodes that are not ready yet after a restart
 	mu                 sync.Mutex               // guards the configuration files, links and pausedAt
 }
 
@@ -87,7 +88,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("lab: %w", err)
 	}
-	l := &Lab{options: o, dir: dir, specs: map[string]standin.NodeSpec{}, pausedAt: map[string]time.Duration{}, discoveryAddresses: map[string]string{}}
+	l := &Lab{restarts: newRestarts(), options: o, dir: dir, specs: map[string]standin.NodeSpec{}, pausedAt: map[string]time.Duration{}, discoveryAddresses: map[string]string{}}
 	defer func() {
 		if err != nil {
 			l.Close()
@@ -299,6 +300,7 @@
 	if err != nil {
 		return err
 	}
+	l.restarts.stop(p)
 	l.Fleet.Judge.NodeKilled(l.Fleet.Clock.Now(), p.name)
 	p.mu.Lock()
 	exited := p.exited
@@ -318,6 +320,7 @@
 	if err != nil {
 		return err
 	}
+	l.restarts.stop(p)
 	return p.signal(syscall.SIGTERM, true)
 }
 
@@ -355,10 +358,12 @@
 	if terminating {
 		<-exited
 	}
+	if i := slices.Index(l.frontNodes, p); i >= 0 { // before the node accepts connections
+		l.restarts.add(p, l.clients[i])
+	}
 	if err := p.start(); err != nil {
 		return err
 	}
-	l.Fleet.Judge.NodeStarted(l.Fleet.Clock.Now(), p.name)
 	if l.onStart != nil {
 		l.onStart(p)
 	}
@@ -446,6 +451,7 @@
 	if l.idle != nil && l.idle.local != nil {
 		l.idle.row.HeldAtEnd = l.idle.local.OpenConns()
 	}
+	l.restarts.finish(maxReadyTime)
 	// Graceful stop: late responses and abandoned work on the servers still complete.
 	l.stopNodes(10 * time.Second)
 	l.idle.close()
@@ -494,6 +500,7 @@
 
 // Close stops everything that still runs and removes the lab's files.
 func (l *Lab) Close() {
+	l.restarts.close()
 	l.stopNodes(5 * time.Second)
 	l.idle.close()
 	for _, c := range l.clients {
