Take back the wait of /ready for discovery's first answer

With a list of 150 servers or more a node was not ready for 2 s, in which it used to earn proof of its servers; then its list is unconfirmed, and it sends to few.

Change: /ready answers as before.

--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -28,39 +28,20 @@
 	}
 	l.view.Restore(stored, stored.Generation)
 	l.discovery.SetServerCount(l.view.ServingCount())
-	confirmedUntil := time.Duration(0)
-	if l.settings.MustSubscribe {
-		confirmedUntil = l.confirmation.Restore(len(stored.Entries))
-	}
-	if confirmedUntil > 0 { // the list is from before the restart
-		l.awaitDiscovery(confirmedUntil)
-	}
 	l.updateServers(stored, decide.ListStored)
-	if confirmedUntil > 0 {
-		l.setConfirmedUntil(confirmedUntil)
+	if !l.settings.MustSubscribe {
+		return
+	}
+	if until := l.confirmation.Restore(len(stored.Entries)); until > 0 { // the list is from before the restart
+		l.setConfirmedUntil(until)
 	}
-}
-
-// awaitDiscovery keeps the node from being ready until discovery has confirmed the long list that the node starts with,
-// or until that list no longer counts as confirmed. How long the node was down is not known: if it was for longer than
-// the confirmation allows for, the node counts as notified of changes that it has not received.
-func (l *loop) awaitDiscovery(until time.Duration) {
-	l.awaitingDiscovery = true
-	l.at(until, timer{run: l.endAwaitDiscovery})
-}
-
-// endAwaitDiscovery ends that wait, if there is one.
-func (l *loop) endAwaitDiscovery() {
-	l.awaitingDiscovery = false
-	l.updateReady()
 }
 
 // updateReady updates whether the node is ready.
-func (l *loop) updateReady() { l.ready.Store(l.sendable > 0 && !l.awaitingDiscovery) }
+func (l *loop) updateReady() { l.ready.Store(l.sendable > 0) }
 
 // handleOpenPoll handles that discovery keeps a long poll open: it has nothing newer.
 func (l *loop) handleOpenPoll() {
-	l.endAwaitDiscovery()
 	asOf, until := l.confirmation.RecordOpenPoll(l.now)
 	l.execute(l.balancer.HandleList(l.now, decide.ListUpdate{
 		Kind: decide.ListLocal, AsOf: max(1, asOf), ConfirmedUntil: until, FleetSize: l.saved.estimatedFleetSize(), PriorRate: l.saved.priorRate(),
@@ -110,7 +91,6 @@
 	l.execute(l.balancer.HandleList(l.now, decide.ListUpdate{
 		Kind: decide.ListLocal, AsOf: asOf, ConfirmedUntil: confirmed, FleetSize: l.saved.estimatedFleetSize(), PriorRate: l.saved.priorRate(),
 	}, l.actions[:0]))
-	l.endAwaitDiscovery()
 	l.scheduleRelease()
 }
 
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -139,30 +139,29 @@
 
 	ctx    context.Context // cancellation stops the loop and all attempts
 	events chan any
-	ready  atomic.Bool // at least one server may receive attempts, and the node does not await discovery
+	ready  atomic.Bool // at least one server may receive attempts
 
 	// The fields below belong to the goroutine in run.
-	mayAskDiscovery   bool // bootstrap has allowed a call to discovery
-	watchDeferred     bool // startWatch was called before mayAskDiscovery
-	awaitingDiscovery bool // the list is from before the start, and discovery has not confirmed it yet
-	now               time.Duration
-	runningAttempts   sync.WaitGroup
-	shuttingDown      bool // new requests are failed at once
-	nextID            uint64
-	routes            *routes.Table
-	pending           map[uint64]*pendingRequest
-	servers           map[string]*knownServer
-	startTimes        map[string]time.Duration
-	sendable          int                   // servers that may receive new attempts
-	queuedChanges     endpoints.ChangeQueue // changes of long lists that are not applied yet
-	lastGeneration    uint64                // generation of the last list from discovery
-	watchRequested    bool                  // startWatch has begun a first watch
-	releaseAt         time.Duration         // when the view releases held-back changes; 0: never
-	retryAt           time.Duration         // when failed servers of a stale list are retried; 0: never
-	timers            timers
-	actions           []decide.Action
-	rng               *rand.Rand
-	unsent            []attemptEnded // outcomes of attempts that could not be sent
+	mayAskDiscovery bool // bootstrap has allowed a call to discovery
+	watchDeferred   bool // startWatch was called before mayAskDiscovery
+	now             time.Duration
+	runningAttempts sync.WaitGroup
+	shuttingDown    bool // new requests are failed at once
+	nextID          uint64
+	routes          *routes.Table
+	pending         map[uint64]*pendingRequest
+	servers         map[string]*knownServer
+	startTimes      map[string]time.Duration
+	sendable        int                   // servers that may receive new attempts
+	queuedChanges   endpoints.ChangeQueue // changes of long lists that are not applied yet
+	lastGeneration  uint64                // generation of the last list from discovery
+	watchRequested  bool                  // startWatch has begun a first watch
+	releaseAt       time.Duration         // when the view releases held-back changes; 0: never
+	retryAt         time.Duration         // when failed servers of a stale list are retried; 0: never
+	timers          timers
+	actions         []decide.Action
+	rng             *rand.Rand
+	unsent          []attemptEnded // outcomes of attempts that could not be sent
 }
 
 func newLoop(ctx context.Context, c *Config, clock clock.Clock, up *upstream.Pool, log *slog.Logger) *loop {
