--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -109,7 +109,7 @@
 	// With pushed lists, an agent that does not answer has nothing new either; a partial
 	// answer shows that it has.
 	if l.settings.MustSubscribe || f.Reason == endpoints.PartialAnswer {
-		m.AsOf, m.ConfirmedUntil = l.confirmation.RecordFailure(l.now, f)
+		m.ConfirmedUntil = l.confirmation.RecordFailure(l.now, f)
 	}
 	l.trace.noList(f, l.lastGeneration, m.ConfirmedUntil-l.now)
 	if unavailable := l.view.ApplyPartial(l.now, f.Generation, u.Unavailable); len(unavailable) > 0 {
--- a/internal/servers/endpoints/confirmation.go
+++ b/internal/servers/endpoints/confirmation.go
@@ -58,7 +58,6 @@
 // change that it has not received.
 type Confirmation struct {
 	currentAsOf time.Duration // the node has received every change that discovery had at this time
-	provenAsOf  time.Duration // the same, however long answers have waited in the queue of discovery
 	disturbed   bool          // since the last answer a call has failed or discovery has moved
 }
 
@@ -71,7 +70,7 @@
 // the last answer, the confirmation ends earlier: discovery may be so slow that changes wait in its queue for too
 // long.
 func (c *Confirmation) RecordOpenPoll(now time.Duration) (asOf, until time.Duration) {
-	c.confirm(now-PollAcceptedAfter, now-PollAcceptedAfter)
+	c.currentAsOf = max(c.currentAsOf, now-PollAcceptedAfter)
 	if c.disturbed {
 		until = c.ConfirmedUntil()
 	}
@@ -79,9 +78,7 @@
 }
 
 // NewConfirmation returns the confirmation of a node that starts now.
-func NewConfirmation(now time.Duration) *Confirmation {
-	return &Confirmation{currentAsOf: now, provenAsOf: now}
-}
+func NewConfirmation(now time.Duration) *Confirmation { return &Confirmation{currentAsOf: now} }
 
 // Restore takes the number of servers in the list that a node starts with, and returns until when that list is
 // confirmed; 0: until a call fails.
@@ -90,53 +87,40 @@
 		return 0
 	}
 	c.currentAsOf -= maxRestartGap
-	c.provenAsOf = c.currentAsOf
 	return c.ConfirmedUntil()
 }
 
 // ConfirmedUntil returns until when the list is confirmed if discovery sends nothing more.
 func (c *Confirmation) ConfirmedUntil() time.Duration { return c.currentAsOf + notifiedAfterFailure }
 
-// confirm records that the list is current as of a time, and surely as of another, which is not later.
-func (c *Confirmation) confirm(asOf, proven time.Duration) {
-	c.currentAsOf, c.provenAsOf = max(c.currentAsOf, asOf), max(c.provenAsOf, proven)
-}
-
 // RecordAnswer records the answer to a call that took a certain time and let discovery wait for changes, and returns
 // as of when it confirms the list. An answer from before the end of that wait may have been in the queue for up to
 // maxDiscoveryQueueTime.
 func (c *Confirmation) RecordAnswer(now, took, wait time.Duration) (asOf time.Duration) {
-	asOf, proven := now-min(took, maxDiscoveryQueueTime), now-took
-	if wait > 0 && took >= wait {
+	if asOf = now - min(took, maxDiscoveryQueueTime); wait > 0 && took >= wait {
 		asOf = now - (took - wait)
-		proven = asOf
 	}
-	c.confirm(asOf, proven)
-	c.disturbed = false
+	c.currentAsOf, c.disturbed = max(c.currentAsOf, asOf), false
 	return c.currentAsOf
 }
 
-// RecordFailure records a failed call and returns until when the list is confirmed. asOf is 0 unless the list turns
-// out to be older than the last answer seemed to show, and then as of when it is current: the answer to an open long
-// poll waits behind all other work of discovery, without a timeout, and a call that finds the queue full shows that
-// it may have waited since the poll began.
-func (c *Confirmation) RecordFailure(now time.Duration, failure CallFailure) (asOf, until time.Duration) {
+// RecordFailure records a failed call and returns until when the list is confirmed.
+func (c *Confirmation) RecordFailure(now time.Duration, failure CallFailure) (until time.Duration) {
 	c.disturbed = true
-	switch {
-	case failure.Reason == PartialAnswer:
-		return 0, now
-	case failure.Reason == PollTimedOut:
+	switch failure.Reason {
+	case PartialAnswer:
+		return now
+	case PollTimedOut:
 		start := now - failure.Took
-		return 0, start + failure.PollWait + notifiedAfterPollEnd
-	case failure.Took > openPollAge && failure.Reason == Overloaded:
-		c.confirm(now-maxDiscoveryQueueTime, now-maxDiscoveryQueueTime)
-	case failure.Took > openPollAge:
-		c.confirm(now, now)
-	case failure.Reason == Overloaded && c.provenAsOf < c.currentAsOf:
-		c.currentAsOf = c.provenAsOf
-		asOf = c.currentAsOf
+		return start + failure.PollWait + notifiedAfterPollEnd
 	}
-	return asOf, c.ConfirmedUntil()
+	if failure.Took > openPollAge {
+		if failure.Reason == Overloaded {
+			now -= maxDiscoveryQueueTime
+		}
+		c.currentAsOf = max(c.currentAsOf, now)
+	}
+	return c.ConfirmedUntil()
 }
 
 // RecordMove records that discovery has moved to another address, and returns until when the list is confirmed.
