--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -116,100 +116,11 @@
 	return store, store.load()
 }
 
-// parseGeneration returns the generation in a file's name.
-func parseGeneration(name, kind string) (uint64, bool) {
-	text, ok := strings.CutPrefix(name, kind)
-	if !ok {
-		return 0, false
-	}
-	n, err := strconv.ParseUint(text, 10, 64)
-	return n, err == nil && n < maxGeneration && strconv.FormatUint(n, 10) == text
-}
-
 // fileName returns the name of a journal or snapshot of a generation.
 func fileName(kind string, generation uint64) string {
 	return kind + strconv.FormatUint(generation, 10)
 }
 
-// load reads the files.
-func (s *Store) load() (report Report) {
-	names, err := s.fs.List()
-	if err != nil {
-		report.Notes = append(report.Notes, "the folder can't be read: "+err.Error())
-		return report
-	}
-	type loadedFile struct {
-		generation uint64
-		journal    bool
-		scannedFile
-	}
-	var files []loadedFile
-	for _, name := range names {
-		generation, journal := parseGeneration(name, journalPrefix)
-		snapshot := false
-		if !journal {
-			if generation, snapshot = parseGeneration(name, snapshotPrefix); !snapshot {
-				continue
-			}
-		}
-		s.generation = max(s.generation, generation)
-		data, err := s.fs.Read(name, maxFileBytes)
-		if err != nil {
-			report.Notes = append(report.Notes, fmt.Sprintf("%s can't be read: %v", name, err))
-			continue
-		}
-		scanned := scan(data, generation, s.settings.AtomicCommits && journal)
-		if scanned.problem != "" {
-			report.Notes = append(report.Notes, fmt.Sprintf("%s is left alone: %s", name, scanned.problem))
-			continue
-		}
-		report.DamagedBytes, report.TruncatedBytes = report.DamagedBytes+scanned.damagedBytes, report.TruncatedBytes+scanned.truncatedBytes
-		if scanned.damagedBytes > 0 || snapshot && !scanned.complete {
-			report.Damage = append(report.Damage, Damage{File: name, Offset: scanned.firstProblem})
-		}
-		files = append(files, loadedFile{generation, journal, scanned})
-	}
-	snapshotGeneration, hasSnapshot := uint64(0), false
-	for _, scanned := range files {
-		if !scanned.journal && !scanned.complete {
-			report.IncompleteSnapshots++
-		}
-		if !scanned.journal && scanned.complete && (!hasSnapshot || scanned.generation > snapshotGeneration) {
-			snapshotGeneration, hasSnapshot = scanned.generation, true
-		}
-	}
-	report.NoSnapshot = !hasSnapshot && len(files) > 0
-	for _, scanned := range files {
-		if hasSnapshot && scanned.generation < snapshotGeneration {
-			continue // superseded by the snapshot
-		}
-		for i := range scanned.records {
-			s.apply(&scanned.records[i])
-		}
-	}
-	for key, entry := range s.rows {
-		if entry.deleted {
-			delete(s.rows, key)
-			continue
-		}
-		s.liveRows++
-		s.liveBytes += len(key.key) + len(entry.value)
-	}
-	s.durable = s.seq
-	report.Generation, report.Rows = s.generation, s.liveRows
-	return report
-}
-
-// apply applies a record, unless a later one of the same row has been applied.
-func (s *Store) apply(change *record) {
-	s.seq = max(s.seq, change.seq)
-	key := rowKey{change.table, change.key}
-	if entry := s.rows[key]; entry != nil && entry.seq >= change.seq {
-		return
-	}
-	s.rows[key] = &row{value: change.value, seq: change.seq, deleted: change.op == opDelete}
-}
-
 // Get returns a row's value, or nil if there is none. The value must not be modified.
 func (s *Store) Get(table byte, key string) []byte {
 	if entry := s.rows[rowKey{table, key}]; entry != nil && !entry.deleted {
