--- a/internal/fleet/raftstore/damage_test.go
+++ b/internal/fleet/raftstore/damage_test.go
@@ -48,8 +48,8 @@
 }
 
 // A changed byte in a file, or a file that is cut, must be reported with the file and an offset up to that byte, or be
-// without effect. The store cannot tell damage at the end of the journal from a write that a crash interrupted: there
-// the state must be that of an earlier Save, and after a changed byte that before the last one.
+// without effect. Of damage at the end of a journal this check allows that it is taken for a write that a crash
+// interrupted, which leaves the state of an earlier Save; TestDamageLosesNoSaveUnnoticed does not.
 func TestDamagedFilesAreNamed(t *testing.T) {
 	f, states := saveStates(t)
 	counts := map[string]int{}
--- a/internal/fleet/raftstore/store.go
+++ b/internal/fleet/raftstore/store.go
@@ -34,7 +34,7 @@
 
 // Settings returns the settings that a Store needs its underlying store to be opened with.
 func Settings() store.Settings {
-	return store.Settings{MaxRows: maxStoreRows, MaxBytes: maxStoreBytes, UrgentSyncInterval: 1, AtomicCommits: true}
+	return store.Settings{MaxRows: maxStoreRows, MaxBytes: maxStoreBytes, UrgentSyncInterval: 1, AtomicCommits: true, MirrorJournal: true}
 }
 
 // Loaded is what was found on disk.
@@ -59,7 +59,7 @@
 	s := &Store{store: opened, firstIndex: 1}
 	loaded, err := s.load()
 	var reasons []string
-	if report.DamagedBytes > 0 || report.IncompleteSnapshots > 0 || report.NoSnapshot && report.Rows > 0 {
+	if report.DamagedBytes > 0 || report.LostBytes > 0 || report.IncompleteSnapshots > 0 || report.NoSnapshot && report.Rows > 0 {
 		reasons = append(reasons, report.String())
 	}
 	if len(report.Notes) > 0 {
--- a/internal/store/load.go
+++ b/internal/store/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 )
@@ -16,11 +17,11 @@
 	return n, err == nil && n < maxGeneration && strconv.FormatUint(n, 10) == text
 }
 
-// loadedFile is a journal or snapshot, and what was read from it.
+// loadedFile is a file of the store, and what was read from it.
 type loadedFile struct {
 	name       string
+	prefix     string // journalPrefix, mirrorPrefix or snapshotPrefix
 	generation uint64
-	journal    bool // false: a snapshot
 	scannedFile
 }
 
@@ -38,11 +39,12 @@
 		}
 	}
 	snapshotGeneration, hasSnapshot := newestSnapshot(files)
-	report.NoSnapshot = !hasSnapshot && len(files) > 0
+	report.NoSnapshot = !hasSnapshot && slices.ContainsFunc(files, func(file loadedFile) bool { return file.problem == "" })
+	files = slices.DeleteFunc(files, func(file loadedFile) bool { return file.generation < snapshotGeneration }) // superseded
+	if s.settings.MirrorJournal {
+		files = checkMirrors(files, &report)
+	}
 	for _, file := range files {
-		if hasSnapshot && file.generation < snapshotGeneration {
-			continue // superseded by the snapshot
-		}
 		for i := range file.records {
 			s.apply(&file.records[i])
 		}
@@ -53,27 +55,40 @@
 	return report
 }
 
-// readFile reads a file and adds what is wrong with it to the report. It returns false if the file is not the store's,
-// or can't be used.
-func (s *Store) readFile(name string, report *Report) (file loadedFile, ok bool) {
-	file.name = name
-	if file.generation, file.journal = parseGeneration(name, journalPrefix); !file.journal {
-		if file.generation, ok = parseGeneration(name, snapshotPrefix); !ok {
-			return file, false
+// parseFileName returns what a file's name says; false: the file is not the store's.
+func (s *Store) parseFileName(name string) (file loadedFile, ok bool) {
+	prefixes := []string{journalPrefix, snapshotPrefix}
+	if s.settings.MirrorJournal {
+		prefixes = append(prefixes, mirrorPrefix)
+	}
+	for _, prefix := range prefixes {
+		if generation, ok := parseGeneration(name, prefix); ok {
+			return loadedFile{name: name, prefix: prefix, generation: generation}, true
 		}
 	}
+	return file, false
+}
+
+// readFile reads a file and adds what is wrong with it to the report. It returns false if the file is not the store's. A
+// file that can't be used has a problem and no records.
+func (s *Store) readFile(name string, report *Report) (file loadedFile, ok bool) {
+	if file, ok = s.parseFileName(name); !ok {
+		return file, false
+	}
 	s.generation = max(s.generation, file.generation)
 	data, err := s.fs.Read(name, maxFileBytes)
 	if err != nil {
 		report.Notes = append(report.Notes, fmt.Sprintf("%s can't be read: %v", name, err))
-		return file, false
+		file.problem = err.Error()
+		return file, true
 	}
-	file.scannedFile = scan(data, file.generation, s.settings.AtomicCommits && file.journal)
+	isSnapshot := file.prefix == snapshotPrefix
+	file.scannedFile = scan(data, file.generation, s.settings.AtomicCommits && !isSnapshot)
 	if file.problem != "" {
 		report.Notes = append(report.Notes, fmt.Sprintf("%s is left alone: %s", name, file.problem))
-		return file, false
+		return file, true
 	}
-	incompleteSnapshot := !file.journal && !file.complete
+	incompleteSnapshot := isSnapshot && !file.complete
 	if incompleteSnapshot {
 		report.IncompleteSnapshots++
 	}
@@ -88,7 +103,7 @@
 // newestSnapshot returns the highest generation that has a complete snapshot; false if none has.
 func newestSnapshot(files []loadedFile) (generation uint64, found bool) {
 	for _, file := range files {
-		if !file.journal && file.complete {
+		if file.prefix == snapshotPrefix && file.complete {
 			generation, found = max(generation, file.generation), true
 		}
 	}
--- a/internal/store/record.go
+++ b/internal/store/record.go
@@ -87,18 +87,42 @@
 	return decoded, size, true
 }
 
+// Layout of the value of a file's first record, in little endian: version 2 bytes, generation 8, and in a journal that is
+// written to more than one file the number of its copies, 1.
+const copiesOffset = 2 + 8
+
 // beginRecord returns the first record of a file.
 func beginRecord(generation uint64) record {
 	value := binary.LittleEndian.AppendUint64(binary.LittleEndian.AppendUint16(nil, Version), generation)
 	return record{op: opBegin, value: value}
 }
 
+// beginJournalRecord returns the first record of a journal that is written to so many files.
+func beginJournalRecord(generation uint64, copies int) record {
+	begin := beginRecord(generation)
+	if copies > 1 {
+		begin.value = append(begin.value, byte(copies))
+	}
+	return begin
+}
+
+// copiesOf returns the number of copies that a file's first record names.
+func copiesOf(begin *record) int {
+	if len(begin.value) <= copiesOffset {
+		return 1
+	}
+	return int(begin.value[copiesOffset])
+}
+
 // scannedFile is the result of reading one file.
 type scannedFile struct {
 	records        []record
 	damagedBytes   int  // bytes between intact records
 	truncatedBytes int  // bytes after the last intact record: most likely a torn write
 	firstProblem   int  // offset of the first byte that is in no intact record; the file's size if there is none
+	copies         int  // files that the content is written to; 0: not known, as the first record can't be read
+	commits        int  // complete atomic commits
+	committedBytes int  // size of the file up to the last of them
 	complete       bool // it is a snapshot with all its rows
 	problem        string
 }
@@ -141,6 +165,7 @@
 				}
 			}
 			began = true
+			result.copies = copiesOf(&entry)
 		case opPut, opDelete:
 			rowCount++
 			pendingBytes += size
@@ -153,6 +178,9 @@
 				result.records = result.records[:committed]
 				result.damagedBytes += pendingBytes
 				result.firstProblem = min(result.firstProblem, offset-size)
+			} else {
+				result.commits++
+				result.committedBytes = offset
 			}
 			result.damagedBytes += gapBytes // an intact record follows, so it is no torn write
 			committed, pendingBytes, gapBytes = len(result.records), 0, 0
--- a/internal/store/report.go
+++ b/internal/store/report.go
@@ -18,8 +18,9 @@
 	Rows                int
 	DamagedBytes        int      // damaged bytes that were skipped
 	TruncatedBytes      int      // bytes of torn writes
+	LostBytes           int      // bytes of durable commits that one copy of a journal lacks
 	IncompleteSnapshots int      // snapshots without all their rows
-	Damage              []Damage // of each file with damaged bytes, and of each incomplete snapshot
+	Damage              []Damage // of each file with damaged or lost bytes, and of each incomplete snapshot
 	Notes               []string // problems, one line each
 	// NoSnapshot: there are files, but no complete snapshot. Rows may be missing, or deleted ones restored.
 	NoSnapshot bool
@@ -40,6 +41,9 @@
 	if r.TruncatedBytes > 0 {
 		text += fmt.Sprintf(", %d bytes of unfinished writes", r.TruncatedBytes)
 	}
+	if r.LostBytes > 0 {
+		text += fmt.Sprintf(", %d durable bytes lost", r.LostBytes)
+	}
 	if r.NoSnapshot {
 		text += ", no whole snapshot"
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -36,6 +36,9 @@
 	UrgentSyncInterval time.Duration // minimum interval between commits of urgent changes; 20 ms if 0
 	// AtomicCommits: each Commit is recovered whole or not at all. A store is always opened with the same value.
 	AtomicCommits bool
+	// MirrorJournal: each Commit is written to two files, so that one that is cut at its end is told from a write that a
+	// crash interrupted, and is read from the other file or reported. It needs AtomicCommits.
+	MirrorJournal bool
 }
 
 const (
@@ -47,6 +50,7 @@
 	maxRetryDelay     = time.Minute
 	snapshotPrefix    = "snapshot-"
 	journalPrefix     = "journal-"
+	mirrorPrefix      = "mirror-" // of the second copies of journals
 	tempSuffix        = ".new"
 	rowOverhead       = headerBytes + checksumBytes
 	maxGeneration     = 1 << 62
@@ -87,8 +91,8 @@
 	seq       uint64
 
 	generation   uint64
-	journal      File // nil: no generation is open for writing
-	journalBytes int  // size of the journal
+	journal      []File // its copies; nil: no generation is open for writing
+	journalBytes int    // size of each copy
 	changedSince time.Duration
 	hasChanges   bool          // changes have been waiting since changedSince
 	lastCommit   time.Duration // time of the last commit
@@ -255,15 +259,10 @@
 		commit := record{op: opCommit, value: binary.LittleEndian.AppendUint64(nil, uint64(len(s.dirty)))}
 		data = commit.append(data, s.generation)
 	}
-	if err := s.writeAll(s.journal, data); err != nil {
-		return s.recordFailure(now, err)
-	}
-	s.journalBytes += len(data)
-	if err := s.journal.Sync(); err != nil {
+	if err := s.appendToJournal(data); err != nil {
 		return s.recordFailure(now, err)
 	}
 	s.stats.Commits++
-	s.stats.Syncs++
 	s.stats.Rows += len(s.dirty)
 	for _, key := range s.dirty {
 		if entry := s.rows[key]; entry.deleted {
@@ -307,42 +306,11 @@
 
 // closeFiles closes the open files.
 func (s *Store) closeFiles() {
-	if s.journal != nil {
-		s.journal.Close()
-	}
+	s.closeJournal()
 	if s.snapshot != nil {
 		s.snapshot.file.Close()
 	}
-	s.journal, s.snapshot = nil, nil
-}
-
-// startGeneration starts a generation with an empty journal.
-func (s *Store) startGeneration() error {
-	generation := s.generation + 1
-	journal, err := s.fs.Create(fileName(journalPrefix, generation))
-	if err != nil {
-		return err
-	}
-	s.generation = generation // even if a later step fails: the name is in use
-	first := beginRecord(generation)
-	header := first.append(nil, generation)
-	if err = s.writeAll(journal, header); err == nil {
-		err = journal.Sync()
-	}
-	if err == nil {
-		err = s.fs.SyncDir()
-	}
-	if err != nil {
-		journal.Close()
-		s.fs.Remove(fileName(journalPrefix, generation)) // otherwise each retry on a full disk would leave a file
-		return err
-	}
-	if s.journal != nil {
-		s.journal.Close()
-	}
-	s.journal, s.journalBytes = journal, len(header)
-	s.stats.Syncs++
-	return nil
+	s.snapshot = nil
 }
 
 // writeSnapshot writes a complete snapshot at once.
@@ -474,8 +442,10 @@
 	}
 	for _, name := range names {
 		generation, ok := parseGeneration(strings.TrimSuffix(name, tempSuffix), snapshotPrefix)
-		if !ok {
-			generation, ok = parseGeneration(name, journalPrefix)
+		for _, prefix := range []string{journalPrefix, mirrorPrefix} {
+			if !ok {
+				generation, ok = parseGeneration(name, prefix)
+			}
 		}
 		if ok && (generation < keep || strings.HasSuffix(name, tempSuffix) && generation < s.generation) {
 			if err := s.fs.Remove(name); err != nil {
