--- a/internal/store/journal.go
+++ b/internal/store/journal.go
@@ -3,7 +3,7 @@
 // journalCopies returns the number of files that each journal is written to.
 func (s *Store) journalCopies() int {
 	if s.settings.MirrorJournal {
-		return 2
+		return mirroredCopies
 	}
 	return 1
 }
--- a/internal/store/load.go
+++ b/internal/store/load.go
@@ -84,6 +84,9 @@
 	}
 	isSnapshot := file.prefix == snapshotPrefix
 	file.scannedFile = scan(data, file.generation, s.settings.AtomicCommits && !isSnapshot)
+	if s.settings.MirrorJournal && isTornStart(&file, data) {
+		file.scannedFile = scannedFile{truncatedBytes: len(data), copies: mirroredCopies}
+	}
 	if file.problem != "" {
 		report.Notes = append(report.Notes, fmt.Sprintf("%s is left alone: %s", name, file.problem))
 		return file, true
--- a/internal/store/mirror.go
+++ b/internal/store/mirror.go
@@ -1,6 +1,12 @@
 package store
 
-import "slices"
+import (
+	"bytes"
+	"slices"
+)
+
+// mirroredCopies is the number of files that the journal of a mirrored store is written to.
+const mirroredCopies = 2
 
 // checkMirrors compares the two copies of each journal. A commit is written only once the one before it is synced in
 // both copies, so that after a crash one of them may lack the last commit, but no more. A copy that lacks more has lost
@@ -56,3 +62,15 @@
 	}
 	return loadedFile{name: fileName(prefix, generation), prefix: prefix, generation: generation}
 }
+
+// isTornStart reports whether a file has no more than the beginning of the first record of a mirrored journal, as a crash
+// may leave it that interrupts the file's creation. What belongs to a program without mirrors does not count: a journal
+// that does not reach to the length of the record's value may be of one.
+func isTornStart(file *loadedFile, data []byte) bool {
+	if file.prefix == snapshotPrefix || file.prefix == journalPrefix && len(data) <= valueLengthOffset {
+		return false
+	}
+	begin := beginJournalRecord(file.generation, mirroredCopies)
+	first := begin.append(nil, file.generation)
+	return len(data) < len(first) && bytes.HasPrefix(first, data)
+}
--- a/internal/store/mirror_test.go
+++ b/internal/store/mirror_test.go
@@ -154,3 +154,41 @@
 		}
 	}
 }
+
+// What a crash leaves of the journal of a new generation must not be distrusted, but where it may be the journal of a
+// program without mirrors that was cut. A journal that had commits must be distrusted when it is cut there.
+func TestTornStartOfGeneration(t *testing.T) {
+	disk, now := newDisk(), time.Hour
+	store, _ := Open(disk, mirrored)
+	for n := 1; n <= 3; n++ {
+		writeTriple(store, &now, n, "")
+	}
+	begin := beginJournalRecord(2, 2)
+	first := begin.append(nil, 2)
+	for journalSize := range len(first) + 1 {
+		for mirrorSize := range len(first) + 1 {
+			disk.files["journal-2"], disk.files["mirror-2"] = &inode{synced: first[:journalSize]}, &inode{synced: first[:mirrorSize]}
+			reopened, report := Open(disk, mirrored)
+			ambiguous := journalSize > 0 && journalSize <= 8 // the length of the value is not there
+			if recovered := recoveredTriple(reopened); recovered != 3 || distrusted(report) != ambiguous {
+				t.Errorf("%d and %d bytes of the first record: recovered %d, report %v", journalSize, mirrorSize, recovered, report)
+			}
+		}
+	}
+	earlier := beginRecord(2)
+	delete(disk.files, "mirror-2")
+	for size := 1; size < earlier.size(); size++ {
+		disk.files["journal-2"] = &inode{synced: earlier.append(nil, 2)[:size]}
+		if _, report := Open(disk, mirrored); !distrusted(report) {
+			t.Errorf("%d bytes of the first record of a program without mirrors: report %v", size, report)
+		}
+	}
+	delete(disk.files, "journal-2")
+	intact := disk.files["journal-1"].synced
+	for size := range first {
+		disk.files["journal-1"] = &inode{synced: intact[:size]}
+		if _, report := Open(disk, mirrored); !distrusted(report) {
+			t.Errorf("journal-1 cut at byte %d: report %v", size, report)
+		}
+	}
+}
--- a/internal/store/record.go
+++ b/internal/store/record.go
@@ -24,8 +24,9 @@
 // Layout of a record, in little endian: magic 4 bytes, operation 1, table 1, length of the key 2,
 // length of the value 4, sequence number 8, key, value, checksum 8.
 const (
-	headerBytes   = 20
-	checksumBytes = 8
+	valueLengthOffset = 8
+	headerBytes       = 20
+	checksumBytes     = 8
 	// MaxKeyBytes and MaxValueBytes bound a row.
 	MaxKeyBytes   = 1 << 10
 	MaxValueBytes = 64 << 10
@@ -73,7 +74,7 @@
 		return decoded, 0, false
 	}
 	keyLength := int(binary.LittleEndian.Uint16(data[6:]))
-	valueLength := int(binary.LittleEndian.Uint32(data[8:]))
+	valueLength := int(binary.LittleEndian.Uint32(data[valueLengthOffset:]))
 	if keyLength > MaxKeyBytes || valueLength > MaxValueBytes {
 		return decoded, 0, false
 	}
