Remove what a voter's new state replaces, so that old damage is not told again

Each time the change of voters counts one seat for nothing; two restarts together may leave no majority.

Reset wrote the new state as a new generation beside the damaged one, which was read, and distrusted, at the next start.

Damage in a generation that a voter goes on from is reported as before. The cleaning of files has a file of its own.

--- a/internal/fleet/raftstore/lostsave_test.go
+++ b/internal/fleet/raftstore/lostsave_test.go
@@ -235,3 +235,36 @@
 	}
 	return next
 }
+
+// A voter that gave up its ID because of a damaged file must keep the state that it was given then, at each start.
+func TestStateAfterDamageIsKept(t *testing.T) {
+	f, _ := saveStates(t)
+	again := map[string]int{}
+	damagedFolders(f, func(damaged *folder, what, name string, offset int) {
+		if offset%5 != 0 { // each start writes a generation
+			return
+		}
+		opened, loaded := openStore(damaged)
+		if loaded.DistrustReason == "" {
+			return
+		}
+		admitted := consensus.NewCluster([]uint64{10, 8, 9})[0]
+		if err := opened.Reset(time.Hour, &admitted, nil); err != nil {
+			t.Fatal(err)
+		}
+		for start := range 3 {
+			opened, loaded = openStore(damaged)
+			if loaded.DistrustReason != "" || stateText(&loaded.State) != stateText(&admitted) {
+				again[fmt.Sprintf("%s, start %d", what, start+1)]++
+				t.Errorf("%s %s at byte %d, start %d: state %s, distrusted: %s", name, what, offset, start+1, stateText(&loaded.State), loaded.DistrustReason)
+				return
+			}
+			update := consensus.Update{Boots: map[uint64]uint64{10: uint64(start+1) << 32}}
+			if err := opened.Save(time.Hour, &update, nil); err != nil {
+				t.Fatal(err)
+			}
+			admitted.Apply(&update)
+		}
+	})
+	t.Log(again)
+}
--- a/internal/fleet/raftstore/store.go
+++ b/internal/fleet/raftstore/store.go
@@ -323,7 +323,8 @@
 	return nil
 }
 
-// Reset replaces all stored state.
+// Reset replaces all stored state, and removes the files of what was there before: damage in them must not make the new
+// state distrusted.
 func (s *Store) Reset(now time.Duration, state *consensus.PersistentState, userData []byte) error {
 	b := &batch{target: s, now: now}
 	for _, table := range []byte{tableVoter, tableBoots, tableChunks, tableEntries} {
@@ -353,7 +354,10 @@
 		b.putProto(tableEntries, encodeUint64(entry.GetIndex()), entry)
 		s.lastIndex = entry.GetIndex()
 	}
-	return s.commit(b)
+	if err := s.commit(b); err != nil {
+		return err
+	}
+	return s.store.RemoveSuperseded()
 }
 
 // Compact takes a bounded step to shorten the store's files, and reports whether there is more to do.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 )
 
@@ -424,38 +423,6 @@
 	return false, s.removeOldFiles()
 }
 
-// removeOldFiles removes the files of all generations before the previous snapshot's.
-func (s *Store) removeOldFiles() error {
-	names, err := s.fs.List()
-	if err != nil {
-		return err
-	}
-	var older []uint64 // generations of complete snapshots before this one
-	for _, name := range names {
-		if generation, ok := parseGeneration(name, snapshotPrefix); ok && generation < s.generation {
-			older = append(older, generation)
-		}
-	}
-	keep := s.generation
-	if len(older) > 0 {
-		keep = slices.Max(older)
-	}
-	for _, name := range names {
-		generation, ok := parseGeneration(strings.TrimSuffix(name, tempSuffix), snapshotPrefix)
-		for _, prefix := range []string{journalPrefix, mirrorPrefix} {
-			if !ok {
-				generation, ok = parseGeneration(name, prefix)
-			}
-		}
-		if ok && (generation < keep || strings.HasSuffix(name, tempSuffix) && generation < s.generation) {
-			if err := s.fs.Remove(name); err != nil {
-				return err
-			}
-		}
-	}
-	return nil
-}
-
 // Close writes pending changes, even if they are not due yet, and closes the files.
 func (s *Store) Close(now time.Duration) error {
 	var err error
