Measure latency between a fleet and given nodes, and drop an unused way to do it

Need: the measurement could be played with real nodes alone, so no test of it had a node whose share is known. MeasureLatency, LatencySettings.Control and LatencySettings.Nodes had no caller or stood for what the list of clients says; the plan of equal servers stood twice.

Change: measureLatency takes the fleet and the nodes' clients; latencyPlan makes the plan. No other behaviour.

--- a/internal/rig/scale/fleet.go
+++ b/internal/rig/scale/fleet.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"curlewring/internal/rig/lab"
-	"curlewring/internal/rig/standin"
 )
 
 // FleetSettings describes a run of real node processes among simulated nodes.
@@ -185,13 +184,10 @@
 	if f.simulated, err = startSimulatedNodes(f.settings.SimulatedNodes, f.settings.Zones); err != nil {
 		return err
 	}
-	plan := standin.DefaultPlan()
-	plan.Servers, plan.Speeds = f.settings.Servers, []float64{1}
-	for i := range plan.Classes {
-		plan.Classes[i].Work, plan.Classes[i].Spread = latencyWork, 0
-	}
 	progress(fmt.Sprintf("%d real nodes", f.settings.RealNodes))
-	f.lab, err = lab.Open(ctx, lab.Options{Plan: plan, Nodes: f.settings.RealNodes, Membership: true, NoRelays: true, Seeds: f.simulated.seeds})
+	f.lab, err = lab.Open(ctx, lab.Options{
+		Plan: latencyPlan(f.settings.Servers), Nodes: f.settings.RealNodes, Membership: true, NoRelays: true, Seeds: f.simulated.seeds,
+	})
 	return err
 }
 
@@ -301,8 +297,8 @@
 // measureLoad measures the latency that the real nodes add to calls.
 func (f *fleetRun) measureLoad(ctx context.Context, r *FleetReport) (err error) {
 	const rounds = 3
-	settings := LatencySettings{Rounds: rounds, RoundTime: f.settings.LoadTime / (2 * rounds), Rate: f.settings.Rate, Nodes: f.settings.RealNodes}
-	r.Latency, err = measureLatencyInLab(ctx, f.lab, settings)
+	settings := LatencySettings{Rounds: rounds, RoundTime: f.settings.LoadTime / (2 * rounds), Rate: f.settings.Rate}
+	r.Latency, err = measureLatency(ctx, f.lab.Fleet, f.lab.Clients(), settings)
 	return err
 }
 
--- a/internal/rig/scale/latency.go
+++ b/internal/rig/scale/latency.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"curlewring/internal/rig/lab"
 	"curlewring/internal/rig/standin"
 )
 
@@ -32,51 +31,39 @@
 	Rounds    int
 	RoundTime time.Duration // of each half of a round, direct and through the nodes
 	Rate      float64       // calls per second at each node
-	Nodes     int
-	Control   bool // enables membership, leases and server lists from peers
 }
 
 // latencyWork is the processing time of a call in these measurements: short and without variance.
 const latencyWork = 2 * time.Millisecond
 
-// MeasureLatency sends calls through real nodes and directly to the servers, alternately, with the same stand-in
-// servers.
-func MeasureLatency(ctx context.Context, settings LatencySettings) (LatencyCost, error) {
+// latencyPlan returns a plan of equally fast servers whose calls all take latencyWork.
+func latencyPlan(servers int) standin.Plan {
 	plan := standin.DefaultPlan()
-	plan.Servers, plan.Speeds = 8*settings.Nodes, []float64{1} // all servers are equally fast
+	plan.Servers, plan.Speeds = servers, []float64{1}
 	for i := range plan.Classes {
 		plan.Classes[i].Work, plan.Classes[i].Spread = latencyWork, 0
 	}
-	options := lab.Options{Plan: plan, Nodes: settings.Nodes}
-	if settings.Control {
-		options.Membership, options.ReplaceVoterAfter, options.ShareLists = true, 10*time.Second, true
-	}
-	l, err := lab.Open(ctx, options)
-	if err != nil {
-		return LatencyCost{}, err
-	}
-	defer l.Close()
-	return measureLatencyInLab(ctx, l, settings)
+	return plan
 }
 
-// measureLatencyInLab measures in a lab that is already running.
-func measureLatencyInLab(ctx context.Context, l *lab.Lab, settings LatencySettings) (LatencyCost, error) {
+// measureLatency sends calls directly to the servers of a fleet and through nodes in front of them, alternately.
+func measureLatency(ctx context.Context, fleet *standin.Fleet, nodes []*standin.Client, settings LatencySettings) (LatencyCost, error) {
 	var direct []*standin.Client
-	for _, server := range l.Fleet.Servers {
-		client := standin.NewClient("direct", server.Address, &l.Fleet.Plan, l.Fleet.Clock, l.Fleet.Judge)
+	for _, server := range fleet.Servers {
+		client := standin.NewClient("direct", server.Address, &fleet.Plan, fleet.Clock, fleet.Judge)
 		defer client.Close()
 		direct = append(direct, client)
 	}
-	traffic := standin.Traffic{Rate: settings.Rate * float64(settings.Nodes), Duration: settings.RoundTime}
+	traffic := standin.Traffic{Rate: settings.Rate * float64(len(nodes)), Duration: settings.RoundTime}
 	var cost LatencyCost
 	var directMedians, proxiedMedians []time.Duration
 	for range settings.Rounds {
-		median, p99, err := measureTraffic(ctx, standin.NewLoadGenerator(&l.Fleet.Plan, direct), traffic)
+		median, p99, err := measureTraffic(ctx, standin.NewLoadGenerator(&fleet.Plan, direct), traffic)
 		if err != nil {
 			return cost, fmt.Errorf("calls directly to servers: %w", err)
 		}
 		cost.Direct, directMedians = append(cost.Direct, p99), append(directMedians, median)
-		median, p99, err = measureTraffic(ctx, standin.NewLoadGenerator(&l.Fleet.Plan, l.Clients()), traffic)
+		median, p99, err = measureTraffic(ctx, standin.NewLoadGenerator(&fleet.Plan, nodes), traffic)
 		if err != nil {
 			return cost, fmt.Errorf("calls through nodes: %w", err)
 		}
