Compare latencies where the node's share is known, not where noise exceeds it

The check compared two medians of three medians of about 13 calls each, taken a sixth of a second apart. Nothing of the product is wrong.

Change: the comparison moves to TestLatencyOfNodesIsToldFromThatOfServers, where a forwarder holds each request for 100 ms in the node's place. The test with real nodes wants the work's 2 ms from both medians.

--- a/internal/rig/scale/fleet_test.go
+++ b/internal/rig/scale/fleet_test.go
@@ -38,7 +38,8 @@
 			t.Errorf("%s: not measured", name)
 		}
 	}
-	if len(r.Latency.Direct) == 0 || r.Latency.DirectMedian < latencyWork || r.Latency.ProxiedMedian < r.Latency.DirectMedian {
+	// TestLatencyOfNodesIsToldFromThatOfServers compares both medians.
+	if len(r.Latency.Direct) == 0 || r.Latency.DirectMedian < latencyWork || r.Latency.ProxiedMedian < latencyWork {
 		t.Errorf("implausible latency %+v", r.Latency)
 	}
 	if len(r.Violations) > 0 {
