Show that the load of a scale run goes through each of its real nodes

Need: with real nodes the old check of latencies could also fail, at least at times, if the load's calls did not go to the nodes. The comparison at a forwarder cannot: it does not see which clients a run with real nodes passes in.

Change: TestLoadIsMeasuredThroughEachRealNode starts three real nodes, measures the load, and wants a connection to each node from its client.

--- a/internal/rig/scale/latency_test.go
+++ b/internal/rig/scale/latency_test.go
@@ -47,6 +47,30 @@
 	}
 }
 
+// The load of a fleet must be measured through each of its real nodes: a client that has opened no connection has sent
+// nothing to its node.
+func TestLoadIsMeasuredThroughEachRealNode(t *testing.T) {
+	settings := FleetSettings{RealNodes: 3, Zones: 1, LoadTime: time.Second, Rate: 50, Servers: 6}
+	run := fleetRun{settings: settings, simulated: &simulatedNodes{}}
+	defer run.close()
+	if err := run.start(t.Context(), func(string) {}); err != nil {
+		t.Fatal(err)
+	}
+	var report FleetReport
+	if err := run.measureLoad(t.Context(), &report); err != nil {
+		t.Fatal(err)
+	}
+	clients := run.lab.Clients()
+	if len(clients) != settings.RealNodes {
+		t.Fatalf("%d clients, want %d", len(clients), settings.RealNodes)
+	}
+	for _, client := range clients {
+		if client.ConnsOpened() == 0 {
+			t.Errorf("no call went to node %s", client.Node)
+		}
+	}
+}
+
 // forwarder forwards connections to a server and delays what clients send.
 type forwarder struct {
 	listener net.Listener
