Log which connection an attempt went over, how long it had idled, and why it closed

An outcome named no connection, "not reusable after its attempt" stood for six reasons, and bytes that belong to no request were logged as a close by the server.

Change: outcomes are logged with the connection's number, its idle time and the error; closes with number, age and one of ten reasons; the first bytes that belong to no request are a warning at the usual level. Moved: connections and close reasons into files of their own; Attempt and exchange in short functions.

Result: go vet and the tests of internal/node and its packages pass; no decision changes.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -85,7 +85,7 @@
 	n.stop = stop
 	n.loop = newLoop(inner, c, n.clock, n.upstream, log)
 	n.loop.reportLag = n.worker.RecordLag
-	n.upstream.OnClose(n.loop.trace.closeLogger())
+	n.upstream.OnClose((&closeLogger{log: log, trace: n.loop.trace}).connClosed)
 	position := endpoints.FleetPosition{
 		NodeIndex: c.Settings.Node, NodeCount: c.Settings.Nodes, Tier: c.Settings.Tier, ResubscribeWithin: c.Settings.ResubscribeWithin,
 		Pushed: !c.Settings.MustSubscribe, Seed: c.Seed,
--- a/internal/node/trace.go
+++ b/internal/node/trace.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"time"
 
 	"curlewring/decide"
@@ -37,7 +38,7 @@
 func (t *trace) attemptEnded(e *attemptEnded) {
 	if t != nil {
 		t.log.Debug("outcome", "txn", e.attempt.pending.txn, "number", e.number, "server", e.server, "result", e.Result.String(),
-			"took", e.elapsed, "dial", e.DialTime, "closed", e.ConnClosed)
+			"took", e.elapsed, "dial", e.DialTime, "conn", e.ConnNumber, "idle", e.IdleTime, "closed", e.ConnClosed, "err", e.Err)
 	}
 }
 
@@ -61,13 +62,27 @@
 	}
 }
 
-// closeLogger returns a function that logs why a connection to a server was closed; nil on a
-// nil trace.
-func (t *trace) closeLogger() func(server string, reason upstream.CloseReason) {
-	if t == nil {
-		return nil
+// serverConnClosed logs why a connection to a server was closed.
+func (t *trace) serverConnClosed(c upstream.ClosedConn) {
+	if t != nil {
+		t.log.Debug("server connection closed", "server", c.Server, "conn", c.Number, "age", c.Age, "reason", string(c.Reason))
 	}
-	return func(server string, reason upstream.CloseReason) {
-		t.log.Debug("server connection closed", "server", server, "reason", string(reason))
+}
+
+// closeLogger logs closed connections to servers.
+type closeLogger struct {
+	log         *slog.Logger
+	trace       *trace
+	unsolicited sync.Once // guards the warning about bytes that belong to no request
+}
+
+// connClosed logs one closed connection. It is called by several goroutines.
+func (l *closeLogger) connClosed(c upstream.ClosedConn) {
+	l.trace.serverConnClosed(c)
+	if c.Reason == upstream.CloseUnsolicited {
+		l.unsolicited.Do(func() {
+			l.log.Warn("a server sent bytes that belong to no request; further cases are logged at debug level only",
+				"server", c.Server, "conn", c.Number, "age", c.Age)
+		})
 	}
 }
--- a/internal/node/upstream/exchange.go
+++ b/internal/node/upstream/exchange.go
@@ -20,7 +20,7 @@
 // all. extraHeaders are header lines of this attempt only.
 func (u *Pool) Attempt(canceler *Canceler, target *Target, request *Request, extraHeaders string, sendBy, until time.Duration) Outcome {
 	c := u.takeIdle(target)
-	dialTime := time.Duration(0)
+	dialTime, idleTime := time.Duration(0), time.Duration(0)
 	if c == nil {
 		var err error
 		started := u.clock.Now()
@@ -29,78 +29,119 @@
 		release()
 		if err != nil {
 			if canceler.isCanceled() {
-				return Outcome{Result: decide.NotSent, ConnClosed: true}
+				return Outcome{Result: decide.NotSent, ConnClosed: true, Err: err}
 			}
-			return Outcome{Result: decide.ConnectFailed, ConnClosed: true}
+			return Outcome{Result: decide.ConnectFailed, ConnClosed: true, Err: err}
 		}
 		dialTime = u.clock.Now() - started
+	} else {
+		idleTime = u.clock.Now() - c.idleSince
 	}
-	o, keep := u.exchange(canceler, c, target, request, extraHeaders, sendBy, until)
+	o, reason := u.exchange(canceler, c, target, request, extraHeaders, sendBy, until)
 	o.ConnAge = u.clock.Now() - c.opened
-	if keep = keep && u.keepIdle(target, c); !keep {
-		u.discard(c, target.ID, CloseUnusable)
+	if reason == keepOpen && !u.keepIdle(target, c) {
+		reason = CloseServerClosed
 	}
-	o.ConnClosed, o.DialTime = !keep, dialTime
+	if reason != keepOpen {
+		u.discard(c, target.ID, reason)
+	}
+	o.ConnClosed = reason != keepOpen
+	o.DialTime, o.ConnNumber, o.IdleTime = dialTime, c.number, idleTime
 	return o
 }
 
-// exchange makes an attempt on a connection and reports whether the connection can be reused.
-func (u *Pool) exchange(canceler *Canceler, c *conn, target *Target, request *Request, extraHeaders string, sendBy, until time.Duration) (_ Outcome, keep bool) {
+// Reasons for which a request is not sent on a connection that is ready.
+var (
+	errRequestOver   = errors.New("the request is finished or canceled")
+	errServerClosed  = errors.New("the server is draining or removed")
+	errTooLateToSend = errors.New("too late to send the request")
+)
+
+// exchange makes an attempt on a connection. It returns the reason for closing the connection, or
+// keepOpen if it can be reused.
+func (u *Pool) exchange(canceler *Canceler, c *conn, target *Target, request *Request, extraHeaders string, sendBy, until time.Duration) (Outcome, CloseReason) {
 	// Getting the connection may have taken a while: by now the server may be draining, or the
 	// request finished.
-	if request.isFinished() || target.Closed.Load() || !canceler.attach(c, u.clock.WallTime(until), u.clock.WallTime(min(sendBy, until))) {
-		return Outcome{Result: decide.NotSent}, false
+	switch {
+	case target.Closed.Load():
+		return Outcome{Result: decide.NotSent, Err: errServerClosed}, CloseServerClosed
+	case request.isFinished() || !canceler.attach(c, u.clock.WallTime(until), u.clock.WallTime(min(sendBy, until))):
+		return Outcome{Result: decide.NotSent, Err: errRequestOver}, CloseNotSent
 	}
 	defer canceler.detach()
 
+	if o := u.write(canceler, c, target, request, extraHeaders, sendBy, until); o.Err != nil {
+		return o, CloseNotSent
+	}
+	resp, body, err := c.readResponse(request.Method)
+	if err != nil {
+		return Outcome{Result: failureOf(err, canceler, c), Err: err}, CloseAttemptFailed
+	}
+	o := outcomeOf(resp, body)
+	switch {
+	case c.reader.Buffered() > 0:
+		u.sawTrailingBytes.Store(true)
+		return o, CloseUnsolicited
+	case resp.Close:
+		return o, CloseRequested
+	case !canceler.detach():
+		return o, CloseAttemptFailed
+	}
+	return o, keepOpen
+}
+
+// write sends a request. If Err is set in the outcome, the server can't have received all of it.
+func (u *Pool) write(canceler *Canceler, c *conn, target *Target, request *Request, extraHeaders string, sendBy, until time.Duration) Outcome {
 	now := u.clock.Now()
 	left := until - now
 	if left <= 0 || now > sendBy {
-		return Outcome{Result: decide.NotSent}, false
+		return Outcome{Result: decide.NotSent, Err: errTooLateToSend}
 	}
 	message, err := request.Encode(c.writeBuffer[:0], target.Address, extraHeaders, left)
 	if err != nil {
-		return Outcome{Result: decide.ConnectFailed}, false
+		return Outcome{Result: decide.ConnectFailed, Err: err}
 	}
 	if c.writeBuffer = message; cap(message) > maxKeptBuffer {
 		c.writeBuffer = nil
 	}
-	if n, _ := c.Write(message); n < len(message) { // the request is incomplete, so the server can't run it
-		if canceler.isCanceled() || u.clock.Now() > sendBy {
-			return Outcome{Result: decide.NotSent}, false
-		}
-		return Outcome{Result: decide.ConnectFailed}, false
-	}
-	resp, body, err := c.readResponse(request.Method)
-	if err != nil {
-		switch {
-		case canceler.isCanceled():
-			return Outcome{Result: decide.Cancelled}, false
-		case isTimeout(err):
-			return Outcome{Result: decide.TimedOut}, false
-		case c.responseLimit.N > 0 && isConnectionError(err):
-			return Outcome{Result: decide.ConnectionLost}, false
-		}
-		return Outcome{Result: decide.Malformed}, false
+	n, err := c.Write(message)
+	if n == len(message) {
+		return Outcome{}
 	}
-	// The connection can be reused only if the attempt wasn't canceled and nothing follows the
-	// response.
-	trailing := c.reader.Buffered() > 0
-	if trailing {
-		u.sawTrailingBytes.Store(true)
+	err = fmt.Errorf("sending %d of %d bytes: %w", n, len(message), cmp.Or(err, io.ErrShortWrite))
+	if canceler.isCanceled() || u.clock.Now() > sendBy {
+		return Outcome{Result: decide.NotSent, Err: err}
 	}
-	keep = !resp.Close && !trailing && canceler.detach()
+	return Outcome{Result: decide.ConnectFailed, Err: err}
+}
+
+// failureOf returns the result of an attempt whose request was sent and whose response can't be
+// read.
+func failureOf(err error, canceler *Canceler, c *conn) decide.Result {
+	switch {
+	case canceler.isCanceled():
+		return decide.Cancelled
+	case isTimeout(err):
+		return decide.TimedOut
+	case c.responseLimit.N > 0 && isConnectionError(err):
+		return decide.ConnectionLost
+	}
+	return decide.Malformed
+}
+
+// outcomeOf returns the outcome of an attempt with a complete response.
+func outcomeOf(resp *http.Response, body []byte) Outcome {
 	switch {
 	case resp.StatusCode == http.StatusOK:
 		return Outcome{
 			Result: decide.Served, Response: &Response{ContentType: resp.Header.Get("Content-Type"), Body: body},
 			SpentBudget: resp.Header[budget.SpentHeaderName],
-		}, keep
+		}
 	case (resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout) &&
 		resp.Header.Get("X-Turned-Away") == "1":
-		return Outcome{Result: decide.Rejected}, keep
+		return Outcome{Result: decide.Rejected}
 	}
-	return Outcome{Result: decide.Errored, SpentBudget: resp.Header[budget.SpentHeaderName]}, keep
+	return Outcome{Result: decide.Errored, SpentBudget: resp.Header[budget.SpentHeaderName]}
 }
 
 // Encode appends the wire form of the request, which is sent in one piece. The fields came through
--- a/internal/node/upstream/pool.go
+++ b/internal/node/upstream/pool.go
@@ -1,15 +1,9 @@
 package upstream
 
 import (
-	"bufio"
-	"context"
-	"fmt"
-	"io"
-	"net"
 	"slices"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"curlewring/decide"
@@ -55,6 +49,9 @@
 	SpentBudget []string      // values of the response header that reports budget spent
 	ConnAge     time.Duration // age of the connection that was used
 	DialTime    time.Duration // time to open a new connection; 0: an idle one was used
+	ConnNumber  uint64        // the connection that was used, counted from 1; 0: none
+	IdleTime    time.Duration // how long that connection had been idle; 0: it was new
+	Err         error         // why there is no usable response; nil if there is one
 }
 
 // Pool makes attempts. It keeps connections to servers, each of which carries one request at a
@@ -66,7 +63,8 @@
 	connectTimeout   time.Duration
 	idleTimeout      time.Duration // connections that are idle for longer are closed
 	sawTrailingBytes atomic.Bool   // a server has sent bytes after its response
-	onClose          func(server string, reason CloseReason)
+	connsOpened      atomic.Uint64
+	onClose          func(ClosedConn)
 
 	mu         sync.Mutex
 	idle       map[string][]*conn // by server ID; the most recently used is last
@@ -76,47 +74,14 @@
 	dueTimers  []int32
 }
 
-type conn struct {
-	net.Conn
-	address       string
-	opened        time.Duration
-	serverID      string            // set once the connection has been idle
-	responseLimit *io.LimitedReader // limits the size of the response
-	reader        *bufio.Reader     // reads from responseLimit
-	raw           syscall.RawConn
-	limiter       *ConnLimiter
-	idleSince     time.Duration
-	timer         int32  // its timer ID while idle
-	writeBuffer   []byte // reused for the next request
-}
-
-func (c *conn) close() {
-	c.Conn.Close()
-	c.limiter.release()
-}
-
-// CloseReason is the reason for closing a connection to a server, as written to the log.
-type CloseReason string
-
-// Reasons for closing a connection to a server.
-const (
-	CloseExpired        CloseReason = "idle timeout"
-	CloseAddressChanged CloseReason = "server address changed"
-	CloseByServer       CloseReason = "closed by the server, or unsolicited bytes received"
-	CloseUnusable       CloseReason = "not reusable after its attempt"
-	CloseServerClosed   CloseReason = "server is draining or removed"
-	CloseEvicted        CloseReason = "evicted to make room"
-	CloseShutdown       CloseReason = "node is shutting down"
-)
-
 // OnClose sets a function that is called for each closed connection and must not call the pool. It
 // has to be set before the first attempt.
-func (u *Pool) OnClose(f func(server string, reason CloseReason)) { u.onClose = f }
+func (u *Pool) OnClose(f func(ClosedConn)) { u.onClose = f }
 
 // discard closes a connection to a server and reports the reason.
 func (u *Pool) discard(c *conn, server string, reason CloseReason) {
 	if u.onClose != nil {
-		u.onClose(server, reason)
+		u.onClose(ClosedConn{Server: server, Number: c.number, Age: u.clock.Now() - c.opened, Reason: reason})
 	}
 	c.close()
 }
@@ -170,10 +135,11 @@
 			if alive {
 				return c
 			}
+			reason = CloseByServer
 			if hasData {
 				u.sawTrailingBytes.Store(true)
+				reason = CloseUnsolicited
 			}
-			reason = CloseByServer
 		}
 		u.discard(c, target.ID, reason)
 	}
@@ -308,44 +274,3 @@
 	u.idle[oldest] = u.idle[oldest][1:]
 	return true
 }
-
-// probe reports whether an idle connection is alive, that is, has nothing to read and was not
-// closed by the server. If it isn't, hasData reports whether bytes have arrived on it.
-func (c *conn) probe() (alive, hasData bool) {
-	err := c.raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		alive, hasData = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK, n > 0
-		return true
-	})
-	return err == nil && alive, hasData
-}
-
-// dial opens a connection to a server.
-func (u *Pool) dial(ctx context.Context, target *Target, until time.Duration) (*conn, error) {
-	for !u.limiter.acquire() {
-		if !u.evictLongestIdle() {
-			return nil, fmt.Errorf("dialing %s: connection limit reached", target.ID)
-		}
-	}
-	dialer := net.Dialer{Timeout: min(u.connectTimeout, until-u.clock.Now()), KeepAlive: -1}
-	if dialer.Timeout <= 0 {
-		u.limiter.release()
-		return nil, fmt.Errorf("dialing %s: no time left", target.ID)
-	}
-	nc, err := dialer.DialContext(ctx, "tcp", target.Address)
-	if err != nil {
-		u.limiter.release()
-		return nil, fmt.Errorf("dialing %s: %w", target.ID, err)
-	}
-	raw, err := nc.(syscall.Conn).SyscallConn()
-	if err != nil {
-		nc.Close()
-		u.limiter.release()
-		return nil, fmt.Errorf("dialing %s: %w", target.ID, err)
-	}
-	limit := &io.LimitedReader{R: nc}
-	return &conn{
-		Conn: nc, address: target.Address, opened: u.clock.Now(), responseLimit: limit, reader: bufio.NewReader(limit), raw: raw, limiter: u.limiter,
-	}, nil
-}
--- a/internal/rig/standin/fault.go
+++ b/internal/rig/standin/fault.go
@@ -20,7 +20,7 @@
 	At       time.Duration
 	Duration time.Duration
 	// Magnitude depends on the kind. slow: slowdown factor; lag: extra seconds; backup: age in seconds; backlog:
-	// seconds of work; lose, twice, damage: fraction; late: seconds.
+	// seconds of work; lose, twice, damage: fraction; late: seconds; repeat: longest delay in milliseconds.
 	Magnitude float64
 }
 
@@ -28,7 +28,7 @@
 func faultTargets() map[string]string {
 	return map[string]string{
 		"slow": "boxes", "stuck": "boxes", "reset": "boxes", "refuse": "boxes", "silent": "boxes", "crash": "boxes",
-		"drain": "boxes", "leave": "boxes", "garble": "boxes", "error": "boxes", "turnaway": "boxes",
+		"drain": "boxes", "leave": "boxes", "garble": "boxes", "repeat": "boxes", "error": "boxes", "turnaway": "boxes",
 		"lag": "discovery", "outage": "discovery", "empty": "discovery", "backup": "discovery", "blackhole": "discovery",
 		"backlog": "discovery", "move": "discovery",
 		"kill": "node", "stop": "node", "term": "node",
@@ -251,6 +251,8 @@
 			s.setFailure(unresponsive, 1)
 		case "garble":
 			s.setFailure(malformed, 1)
+		case "repeat":
+			s.startRepeating(time.Duration(fault.Magnitude * float64(time.Millisecond)))
 		case "error":
 			s.setFailure(failing, 1)
 		case "turnaway":
--- a/internal/rig/standin/server.go
+++ b/internal/rig/standin/server.go
@@ -31,6 +31,7 @@
 	refusing                 // does not listen
 	unresponsive             // neither receives nor sends, as if its machine had vanished
 	malformed                // executes requests and sends malformed answers
+	repeating                // sends each answer a second time, some time later
 	failing                  // executes nothing and answers 500
 	rejecting                // answers everything with X-Turned-Away
 	crashed                  // its process has ended
@@ -81,7 +82,8 @@
 
 	mu              sync.Mutex
 	failure         failureMode
-	slowdown        float64 // factor on the duration of work
+	slowdown        float64       // factor on the duration of work
+	longestRepeat   time.Duration // while repeating: longest time between an answer and its repetition
 	draining        bool
 	startedAt       time.Duration // 0: long ago
 	admitted        int           // requests in work or in the queue
@@ -212,7 +214,8 @@
 // serverConn is a connection of a server, which may become unresponsive.
 type serverConn struct {
 	*net.TCPConn
-	server *Server
+	server  *Server
+	repeats repeatTimers
 }
 
 // Read returns received data. While the server is unresponsive it blocks until that ends, and then closes the
@@ -240,14 +243,20 @@
 		<-silenceEnd
 		return 0, net.ErrClosed
 	}
-	return c.TCPConn.Write(p)
+	n, err := c.TCPConn.Write(p)
+	if delay, ok := c.server.drawRepeat(p); ok && err == nil {
+		c.repeats.schedule(c.TCPConn, p, delay)
+	}
+	return n, err
 }
 
 func (c *serverConn) Close() error {
 	c.server.mu.Lock()
 	delete(c.server.conns, c)
 	c.server.mu.Unlock()
-	return c.TCPConn.Close()
+	err := c.TCPConn.Close()
+	c.repeats.stop()
+	return err
 }
 
 // attempt identifies one attempt at a server.
