Let connections to servers settle from the first response on, not after the first harm

Cause: HTTP/1.1 answers name no request. A second answer that comes some milliseconds late is taken for the next request's if its connection has been reused by then. The first late answer that met a reused connection was served.

Change: each connection rests 10 ms after each response, and 50 ms for a minute after any server has sent bytes that belong to no request. While eight connections to a server settle, a request waits for the first of them, where it would open one more.

Why it works: bytes that come while a connection rests are found by the look before its next use, and the connection is closed.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	. "curlewring/internal/node/nodetest"
+	"curlewring/internal/node/upstream"
 )
 
 // Method, path, query and body must reach the server byte for byte, and so must the headers
@@ -213,12 +214,15 @@
 }
 
 // Connections must be reused, the most recently used first and only after a complete answer:
-// the balancer relies on it, and each new connection costs the server work.
+// the balancer relies on it, and each new connection costs the server work. After an answer they
+// settle first.
 func TestConnectionsAreReused(t *testing.T) {
 	t.Parallel()
 	s := NewServer(t, RespondWith("fine"))
 	n := startWithServers(t, s)
 	for range 20 {
+		answered := time.Now()
+		WaitFor(t, "the connection has settled", func() bool { return time.Since(answered) > upstream.SettleTime })
 		if resp, body := exchange(t, request(t, n.url, "/look/1", "")); body != "fine" {
 			t.Fatalf("answered %s %q", resp.Status, body)
 		}
--- a/internal/node/upstream/conn.go
+++ b/internal/node/upstream/conn.go
@@ -21,6 +21,7 @@
 	reader        *bufio.Reader     // reads from responseLimit
 	raw           syscall.RawConn
 	limiter       *ConnLimiter
+	responses     int // responses read, without interim ones
 	idleSince     time.Duration
 	timer         int32  // its timer ID while idle
 	writeBuffer   []byte // reused for the next request
--- a/internal/node/upstream/exchange.go
+++ b/internal/node/upstream/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -19,22 +20,15 @@
 // is canceled. Unless its last byte can be written by the time sendBy, the request isn't sent at
 // all. extraHeaders are header lines of this attempt only.
 func (u *Pool) Attempt(canceler *Canceler, target *Target, request *Request, extraHeaders string, sendBy, until time.Duration) Outcome {
-	c := u.takeIdle(target)
-	dialTime, idleTime := time.Duration(0), time.Duration(0)
-	if c == nil {
-		var err error
-		started := u.clock.Now()
-		ctx, release := canceler.dialContext()
-		c, err = u.dial(ctx, target, until)
-		release()
-		if err != nil {
-			if canceler.isCanceled() {
-				return Outcome{Result: decide.NotSent, ConnClosed: true, Err: err}
-			}
-			return Outcome{Result: decide.ConnectFailed, ConnClosed: true, Err: err}
+	c, dialTime, err := u.acquire(canceler, target, until)
+	if err != nil {
+		if canceler.isCanceled() {
+			return Outcome{Result: decide.NotSent, ConnClosed: true, Err: err}
 		}
-		dialTime = u.clock.Now() - started
-	} else {
+		return Outcome{Result: decide.ConnectFailed, ConnClosed: true, Err: err}
+	}
+	idleTime := time.Duration(0)
+	if c.responses > 0 {
 		idleTime = u.clock.Now() - c.idleSince
 	}
 	o, reason := u.exchange(canceler, c, target, request, extraHeaders, sendBy, until)
@@ -50,6 +44,39 @@
 	return o
 }
 
+// acquire returns an idle connection to a server, or opens one and returns the time that it took.
+func (u *Pool) acquire(canceler *Canceler, target *Target, until time.Duration) (c *conn, dialTime time.Duration, err error) {
+	c, wait := u.takeIdle(target)
+	if c != nil {
+		return c, 0, nil
+	}
+	ctx, release := canceler.dialContext()
+	defer release()
+	if wait > 0 {
+		if err := sleep(ctx, min(wait, until-u.clock.Now())); err != nil {
+			return nil, 0, err
+		}
+		if c, _ = u.takeIdle(target); c != nil {
+			return c, 0, nil
+		}
+	}
+	started := u.clock.Now()
+	c, err = u.dial(ctx, target, until)
+	return c, u.clock.Now() - started, err
+}
+
+// sleep waits for a duration, or returns an error if the context ends first.
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("waiting for a connection: %w", ctx.Err())
+	}
+}
+
 // Reasons for which a request is not sent on a connection that is ready.
 var (
 	errRequestOver   = errors.New("the request is finished or canceled")
@@ -77,10 +104,11 @@
 	if err != nil {
 		return Outcome{Result: failureOf(err, canceler, c), Err: err}, CloseAttemptFailed
 	}
+	c.responses++
 	o := outcomeOf(resp, body)
 	switch {
 	case c.reader.Buffered() > 0:
-		u.sawTrailingBytes.Store(true)
+		u.desync.unsolicitedBytes(u.clock.Now())
 		return o, CloseUnsolicited
 	case resp.Close:
 		return o, CloseRequested
--- a/internal/node/upstream/pool.go
+++ b/internal/node/upstream/pool.go
@@ -58,13 +58,13 @@
 // time. It doesn't use net/http's Transport, which may send a request again by itself, so that an
 // effect could happen twice.
 type Pool struct {
-	clock            clock.Clock
-	limiter          *ConnLimiter
-	connectTimeout   time.Duration
-	idleTimeout      time.Duration // connections that are idle for longer are closed
-	sawTrailingBytes atomic.Bool   // a server has sent bytes after its response
-	connsOpened      atomic.Uint64
-	onClose          func(ClosedConn)
+	clock          clock.Clock
+	limiter        *ConnLimiter
+	connectTimeout time.Duration
+	idleTimeout    time.Duration // connections that are idle for longer are closed
+	connsOpened    atomic.Uint64
+	desync         desyncGuard
+	onClose        func(ClosedConn)
 
 	mu         sync.Mutex
 	idle       map[string][]*conn // by server ID; the most recently used is last
@@ -90,13 +90,6 @@
 // no request is sent while the server is closing it.
 const idleMargin = 250 * time.Millisecond
 
-// settleTime is how long a connection stays unused after a response, once any server has sent bytes
-// after its response. If such bytes arrive in that time, they are noticed. On a reused connection
-// they would be taken for the response to the next request. Before any server has done so,
-// connections are reused at once, because otherwise requests in close succession would each need a
-// new connection.
-const settleTime = 5 * time.Millisecond
-
 // New returns a pool without connections.
 func New(clock clock.Clock, limiter *ConnLimiter, set *decide.Settings) *Pool {
 	u := &Pool{
@@ -113,37 +106,54 @@
 	return u
 }
 
-// takeIdle removes and returns the most recently used idle connection to a server that has settled,
-// or returns nil.
-func (u *Pool) takeIdle(target *Target) *conn {
+// takeIdle removes and returns the most recently used idle connection to a server that has settled.
+// If there is none but maxSettling others are settling, it returns nil and the time until the first
+// of them has settled; otherwise nil and 0.
+func (u *Pool) takeIdle(target *Target) (c *conn, wait time.Duration) {
+	settleTime := u.desync.settleTime(u.clock.Now())
+	settling := 0
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for at := len(u.idle[target.ID]) - 1; at >= 0; at-- {
 		c := u.idle[target.ID][at]
 		idleTime := u.clock.Now() - c.idleSince
-		if u.sawTrailingBytes.Load() && idleTime < settleTime && c.address == target.Address {
+		if idleTime < settleTime && c.address == target.Address {
+			settling++
+			wait = settleTime - idleTime
 			continue
 		}
 		u.idle[target.ID] = slices.Delete(u.idle[target.ID], at, at+1)
 		u.cancelIdleTimer(c)
-		reason := CloseExpired
-		switch {
-		case c.address != target.Address:
-			reason = CloseAddressChanged
-		case idleTime < u.idleTimeout:
-			alive, hasData := c.probe()
-			if alive {
-				return c
-			}
-			reason = CloseByServer
-			if hasData {
-				u.sawTrailingBytes.Store(true)
-				reason = CloseUnsolicited
-			}
+		if reason := u.checkIdle(c, target, idleTime); reason != keepOpen {
+			u.discard(c, target.ID, reason)
+			continue
 		}
-		u.discard(c, target.ID, reason)
+		return c, 0
+	}
+	if settling < maxSettling {
+		return nil, 0
+	}
+	return nil, wait
+}
+
+// checkIdle returns the reason for closing a connection that has been idle, or keepOpen if it can
+// be used for the next request.
+func (u *Pool) checkIdle(c *conn, target *Target, idleTime time.Duration) CloseReason {
+	if c.address != target.Address {
+		return CloseAddressChanged
+	}
+	if idleTime >= u.idleTimeout {
+		return CloseExpired
+	}
+	alive, hasData := c.probe()
+	switch {
+	case alive:
+		return keepOpen
+	case hasData:
+		u.desync.unsolicitedBytes(u.clock.Now())
+		return CloseUnsolicited
 	}
-	return nil
+	return CloseByServer
 }
 
 // keepIdle keeps a connection for the next request, unless nothing may be sent to its server.
