Skip copies of earlier responses that arrive after a connection has been used again

Cause: a rest bounds how late a copy may be, and no rest is long enough for all. What arrives once the next request is out was taken for its answer unseen.

Change: internal/conns/repeats (pure) tells copies by their contents: once 16 responses in a row were different, one that equals an earlier one of the last second on its connection is a copy. Equal responses on different connections, on a new one or much later show that responses can be equal by nature, and nothing is suspected for a minute. A copy is skipped, the attempt reads on for its own response, and the connection is closed afterwards. Until 16 responses have been seen connections rest for 100 ms, as for a minute after unsolicited bytes. A request waits for one of eight settling connections only if that takes 10 ms at most.

TestCopyOfEarlierResponseIsSkipped serves the 99th request's body to the 100th without the detector.

--- /dev/null
+++ b/internal/conns/repeats/detector.go
@@ -0,0 +1,75 @@
+package repeats
+
+import "time"
+
+const (
+	remembered = 256 // responses
+	// A copy arrives soon after its original, while clients may ask for the same again at any time.
+	copyWindow = time.Second
+	// minDistinct is the number of different responses in a row from which an equal one is suspect.
+	minDistinct = 16
+	// equalHold is how long nothing is suspected after two responses that were equal by nature.
+	equalHold = time.Minute
+)
+
+// Response identifies a response and how it was received.
+type Response struct {
+	Conn   uint64 // number of the connection, unique among all connections
+	First  bool   // it is the first response on the connection, and so not a copy
+	Digest uint64 // digest of the contents
+}
+
+// record is a remembered response.
+type record struct {
+	digest uint64
+	conn   uint64
+	at     time.Duration
+}
+
+// Detector decides whether a response is a copy of an earlier one. It isn't safe for concurrent
+// use.
+type Detector struct {
+	records     []record       // a ring once it is full
+	next        int            // the record to be replaced next
+	byDigest    map[uint64]int // index in records
+	seen        int            // responses, up to minDistinct
+	distinct    int            // different responses in a row
+	quietBefore time.Duration  // nothing is suspected before this time
+}
+
+// NewDetector returns a detector that has seen no response.
+func NewDetector() *Detector { return &Detector{byDigest: map[uint64]int{}} }
+
+// IsCopy takes a response and reports whether it is a copy of an earlier one on its connection.
+func (d *Detector) IsCopy(now time.Duration, r Response) bool {
+	d.seen = min(d.seen+1, minDistinct)
+	i, known := d.byDigest[r.Digest]
+	if !known {
+		d.remember(record{r.Digest, r.Conn, now})
+		d.distinct = min(d.distinct+1, minDistinct)
+		return false
+	}
+	original := &d.records[i]
+	if !r.First && original.conn == r.Conn && now-original.at <= copyWindow {
+		return d.distinct >= minDistinct && now >= d.quietBefore
+	}
+	original.conn, original.at = r.Conn, now
+	d.distinct, d.quietBefore = 0, now+equalHold
+	return false
+}
+
+// Learning reports whether too few responses have been seen to tell whether they differ.
+func (d *Detector) Learning() bool { return d.seen < minDistinct }
+
+// remember adds a response in place of the oldest one.
+func (d *Detector) remember(r record) {
+	if len(d.records) < remembered {
+		d.byDigest[r.digest] = len(d.records)
+		d.records = append(d.records, r)
+		return
+	}
+	delete(d.byDigest, d.records[d.next].digest)
+	d.records[d.next] = r
+	d.byDigest[r.digest] = d.next
+	d.next = (d.next + 1) % remembered
+}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -222,7 +222,7 @@
 	n := startWithServers(t, s)
 	for range 20 {
 		answered := time.Now()
-		WaitFor(t, "the connection has settled", func() bool { return time.Since(answered) > upstream.SettleTime })
+		WaitFor(t, "the connection has settled", func() bool { return time.Since(answered) > upstream.CautiousSettleTime })
 		if resp, body := exchange(t, request(t, n.url, "/look/1", "")); body != "fine" {
 			t.Fatalf("answered %s %q", resp.Status, body)
 		}
--- a/internal/node/upstream/exchange.go
+++ b/internal/node/upstream/exchange.go
@@ -100,13 +100,14 @@
 	if o := u.write(canceler, c, target, request, extraHeaders, sendBy, until); o.Err != nil {
 		return o, CloseNotSent
 	}
-	resp, body, err := c.readResponse(request.Method)
+	resp, body, copies, err := u.readOwnResponse(c, request.Method)
 	if err != nil {
 		return Outcome{Result: failureOf(err, canceler, c), Err: err}, CloseAttemptFailed
 	}
-	c.responses++
 	o := outcomeOf(resp, body)
 	switch {
+	case copies > 0:
+		return o, CloseUnsolicited
 	case c.reader.Buffered() > 0:
 		u.desync.unsolicitedBytes(u.clock.Now())
 		return o, CloseUnsolicited
@@ -205,6 +206,26 @@
 	return append(append(append(append(to, name...), ": "...), value...), "\r\n"...)
 }
 
+// errTooManyCopies means that a server goes on sending responses to earlier requests.
+var errTooManyCopies = errors.New("too many copies of earlier responses")
+
+// readOwnResponse reads the response to the request that was sent last. It skips copies of earlier
+// responses and returns how many there were.
+func (u *Pool) readOwnResponse(c *conn, method string) (resp *http.Response, body []byte, copies int, err error) {
+	for ; copies <= maxCopies; copies++ {
+		if resp, body, err = c.readResponse(method); err != nil {
+			return nil, nil, copies, err
+		}
+		isCopy := resp.StatusCode == http.StatusOK && u.desync.isCopy(u.clock.Now(), c, body)
+		c.responses++
+		if !isCopy {
+			return resp, body, copies, nil
+		}
+		u.desync.unsolicitedBytes(u.clock.Now())
+	}
+	return nil, nil, copies, errTooManyCopies
+}
+
 // readResponse reads a complete response. It keeps at most maxResponseSize bytes, whatever the
 // server sends.
 func (c *conn) readResponse(method string) (*http.Response, []byte, error) {
--- a/internal/node/upstream/pool.go
+++ b/internal/node/upstream/pool.go
@@ -63,7 +63,7 @@
 	connectTimeout time.Duration
 	idleTimeout    time.Duration // connections that are idle for longer are closed
 	connsOpened    atomic.Uint64
-	desync         desyncGuard
+	desync         *desyncGuard
 	onClose        func(ClosedConn)
 
 	mu         sync.Mutex
@@ -95,6 +95,7 @@
 	u := &Pool{
 		clock: clock, limiter: limiter, connectTimeout: set.ConnectTimeout, idleTimeout: set.ConnIdleTimeout,
 		idle: map[string][]*conn{}, idleTimers: timerwheel.New(idleTick, clock.Now()),
+		desync: newDesyncGuard(),
 	}
 	if u.connectTimeout <= 0 {
 		u.connectTimeout = time.Second
@@ -107,8 +108,8 @@
 }
 
 // takeIdle removes and returns the most recently used idle connection to a server that has settled.
-// If there is none but maxSettling others are settling, it returns nil and the time until the first
-// of them has settled; otherwise nil and 0.
+// If there is none but maxSettling others are settling, and one of them will have settled within
+// maxSettleWait, it returns nil and the time until then; otherwise nil and 0.
 func (u *Pool) takeIdle(target *Target) (c *conn, wait time.Duration) {
 	settleTime := u.desync.settleTime(u.clock.Now())
 	settling := 0
@@ -130,7 +131,7 @@
 		}
 		return c, 0
 	}
-	if settling < maxSettling {
+	if settling < maxSettling || wait > maxSettleWait {
 		return nil, 0
 	}
 	return nil, wait
--- a/internal/node/upstream/upstream_test.go
+++ b/internal/node/upstream/upstream_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -123,12 +124,12 @@
 			if later {
 				c := u.idle["s0"][0]
 				WaitFor(t, "the second response has arrived", func() bool { alive, _ := c.probe(); return !alive })
-				c.idleSince -= SettleTime
+				c.idleSince -= CautiousSettleTime
 			}
 			if o := testAttempt(t, u, address); o.Result != decide.Served || string(o.Response.Body) != "fine" {
 				t.Errorf("next attempt: %v", o)
 			}
-			if got := u.desync.settleTime(u.clock.Now()); got != cautiousSettleTime {
+			if got := u.desync.settleTime(u.clock.Now()); got != CautiousSettleTime {
 				t.Errorf("connections rest for %v after the trailing bytes", got)
 			}
 			u.CloseIdle()
@@ -137,22 +138,24 @@
 }
 
 // A connection must not be reused right after a response, before bytes that follow it could have
-// arrived: whether or not a server has ever sent any, and longer for a while after one has.
+// arrived: whether or not a server has ever sent any, and longer while copies can't be told yet and
+// for a while after a server has sent such bytes.
 func TestConnectionsSettleBeforeReuse(t *testing.T) {
-	u := newTestPool()
-	address := RawServer(t, func(c net.Conn) { io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n") })
-	p := &Target{ID: "s0", Address: address}
-	testAttempt(t, u, address)
-	c := u.idle["s0"][0]
 	for name, test := range map[string]struct {
-		cautious bool
-		settle   time.Duration
+		learned, sawTrailing bool
+		settle               time.Duration
 	}{
-		"no trailing bytes seen": {false, SettleTime}, "trailing bytes seen": {true, cautiousSettleTime},
+		"copies can't be told yet": {false, false, CautiousSettleTime}, "no trailing bytes seen": {true, false, settleTime},
+		"trailing bytes seen": {true, true, CautiousSettleTime},
 	} {
 		t.Run(name, func(t *testing.T) {
-			u.desync = desyncGuard{}
-			if test.cautious {
+			u := newTestPool()
+			address := RawServer(t, func(c net.Conn) { io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n") })
+			p := &Target{ID: "s0", Address: address}
+			testAttempt(t, u, address)
+			c := u.idle["s0"][0]
+			u.desync.learned.Store(test.learned)
+			if test.sawTrailing {
 				u.desync.unsolicitedBytes(u.clock.Now())
 			}
 			c.idleSince = u.clock.Now() + time.Hour // it never settles
@@ -163,19 +166,64 @@
 			if got, _ := u.takeIdle(p); got != c {
 				t.Errorf("got %v after it has settled", got)
 			}
-			u.keepIdle(p, c)
-			if got := u.desync.settleTime(u.clock.Now() + cautionPeriod); got != SettleTime {
-				t.Errorf("connections rest for %v after the time of caution", got)
+			if got, later := u.desync.settleTime(u.clock.Now()), u.desync.settleTime(u.clock.Now()+cautionPeriod); got != test.settle || test.learned && later != settleTime {
+				t.Errorf("connections settle for %v, and for %v after the time of caution", got, later)
 			}
+			c.close()
+		})
+	}
+}
+
+// A copy of an earlier response that arrives after the next request has been sent must be skipped,
+// and the connection closed: HTTP/1.1 doesn't say which request a response belongs to.
+func TestCopyOfEarlierResponseIsSkipped(t *testing.T) {
+	for name, test := range map[string]struct {
+		copies int
+		want   decide.Result
+	}{
+		"one": {1, decide.Served}, "several": {maxCopies, decide.Served}, "too many": {maxCopies + 1, decide.Malformed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := newTestPool()
+			var responses atomic.Int64
+			address := RawServer(t, func(c net.Conn) {
+				respond := func(number int64) {
+					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nresponse%4d", number)
+				}
+				number := responses.Add(1)
+				if number == 100 {
+					for range test.copies {
+						respond(number - 1)
+					}
+				}
+				respond(number)
+			})
+			var o Outcome
+			for range 100 {
+				if stack := u.idle["s0"]; len(stack) > 0 {
+					stack[0].idleSince -= CautiousSettleTime
+				}
+				o = testAttempt(t, u, address)
+			}
+			if o.Result != test.want || !o.ConnClosed {
+				t.Errorf("result %v, connection closed: %v, want %v", o.Result, o.ConnClosed, test.want)
+			}
+			if want := "response 100"; o.Result == decide.Served && string(o.Response.Body) != want {
+				t.Errorf("served %q, want %q", o.Response.Body, want)
+			}
+			if got := u.desync.settleTime(u.clock.Now()); got != CautiousSettleTime {
+				t.Errorf("connections settle for %v after a copy", got)
+			}
+			u.CloseIdle()
 		})
 	}
-	u.CloseIdle()
 }
 
 // Requests in quick succession must not open a new connection each: once enough connections settle,
 // a request waits for the first of them.
 func TestQuickSuccessionOpensFewConnections(t *testing.T) {
 	u := newTestPool()
+	u.desync.learned.Store(true)
 	s := NewServer(t, RespondWith("fine"))
 	for range 10 * maxSettling {
 		if o := testAttempt(t, u, s.Addr()); o.Result != decide.Served {
@@ -197,7 +245,7 @@
 	}
 	u.mu.Lock()
 	for _, c := range u.idle["s0"] {
-		c.idleSince = u.clock.Now() + WaitTimeout // they don't settle
+		c.idleSince = u.clock.Now() - CautiousSettleTime + maxSettleWait // they settle just in time to be waited for
 	}
 	u.mu.Unlock()
 	canceler, ended := &Canceler{}, make(chan Outcome, 1)
@@ -264,7 +312,7 @@
 	u := newTestPool()
 	s := NewServer(t, RespondWith("fine"))
 	first := testAttempt(t, u, s.Addr())
-	WaitFor(t, "the connection has settled", func() bool { return u.clock.Now()-u.idle["s0"][0].idleSince > 2*SettleTime })
+	WaitFor(t, "the connection has settled", func() bool { return u.clock.Now()-u.idle["s0"][0].idleSince > CautiousSettleTime })
 	started := u.clock.Now()
 	second := testAttempt(t, u, s.Addr())
 	if second.ConnAge <= first.ConnAge || second.DialTime > 0 {
