Wait up to 10 ms for a connection that settles, rather than open another

Need: with a rest after each response, a request that follows closely opened a connection where eight did not settle yet.

Change: a request waits for a connection that settles within 10 ms, unless as many requests wait already as there are such connections; only then a new one is opened. This replaces the number of eight.

--- a/internal/node/upstream/desync.go
+++ b/internal/node/upstream/desync.go
@@ -19,9 +19,8 @@
 	// for a cautionPeriod after a server has sent bytes that belong to no request.
 	CautiousSettleTime = 100 * time.Millisecond
 	cautionPeriod      = time.Minute
-	// maxSettling is the number of connections to a server that may settle at the same time before a
-	// request waits for one of them. A new connection costs the server work, and it holds only so many.
-	maxSettling   = 8
+	// maxSettleWait is the longest wait of a request for a connection that is settling. A new one costs
+	// the server work.
 	maxSettleWait = 10 * time.Millisecond
 	// maxCopies is the number of copies of earlier responses that are skipped for one request.
 	maxCopies = 4
--- a/internal/node/upstream/exchange.go
+++ b/internal/node/upstream/exchange.go
@@ -46,17 +46,18 @@
 
 // acquire returns an idle connection to a server, or opens one and returns the time that it took.
 func (u *Pool) acquire(canceler *Canceler, target *Target, until time.Duration) (c *conn, dialTime time.Duration, err error) {
-	c, wait := u.takeIdle(target)
-	if c != nil {
+	if c = u.takeIdle(target); c != nil {
 		return c, 0, nil
 	}
 	ctx, release := canceler.dialContext()
 	defer release()
-	if wait > 0 {
-		if err := sleep(ctx, min(wait, until-u.clock.Now())); err != nil {
+	if wait := u.beginWait(target.ID); wait > 0 {
+		err := sleep(ctx, min(wait, until-u.clock.Now()))
+		u.endWait(target.ID)
+		if err != nil {
 			return nil, 0, err
 		}
-		if c, _ = u.takeIdle(target); c != nil {
+		if c = u.takeIdle(target); c != nil {
 			return c, 0, nil
 		}
 	}
--- a/internal/node/upstream/pool.go
+++ b/internal/node/upstream/pool.go
@@ -68,6 +68,7 @@
 
 	mu         sync.Mutex
 	idle       map[string][]*conn // by server ID; the most recently used is last
+	waiting    map[string]int     // requests that wait for a settling connection, by server ID
 	idleTimers *timerwheel.Wheel  // closing times of idle connections
 	timerConns []*conn            // idle connections by timer ID
 	freeTimers []int32            // unused timer IDs
@@ -94,7 +95,7 @@
 func New(clock clock.Clock, limiter *ConnLimiter, set *decide.Settings) *Pool {
 	u := &Pool{
 		clock: clock, limiter: limiter, connectTimeout: set.ConnectTimeout, idleTimeout: set.ConnIdleTimeout,
-		idle: map[string][]*conn{}, idleTimers: timerwheel.New(idleTick, clock.Now()),
+		idle: map[string][]*conn{}, waiting: map[string]int{}, idleTimers: timerwheel.New(idleTick, clock.Now()),
 		desync: newDesyncGuard(),
 	}
 	if u.connectTimeout <= 0 {
@@ -108,19 +109,15 @@
 }
 
 // takeIdle removes and returns the most recently used idle connection to a server that has settled.
-// If there is none but maxSettling others are settling, and one of them will have settled within
-// maxSettleWait, it returns nil and the time until then; otherwise nil and 0.
-func (u *Pool) takeIdle(target *Target) (c *conn, wait time.Duration) {
+// It returns nil if there is none.
+func (u *Pool) takeIdle(target *Target) *conn {
 	settleTime := u.desync.settleTime(u.clock.Now())
-	settling := 0
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for at := len(u.idle[target.ID]) - 1; at >= 0; at-- {
 		c := u.idle[target.ID][at]
 		idleTime := u.clock.Now() - c.idleSince
 		if idleTime < settleTime && c.address == target.Address {
-			settling++
-			wait = settleTime - idleTime
 			continue
 		}
 		u.idle[target.ID] = slices.Delete(u.idle[target.ID], at, at+1)
@@ -129,12 +126,37 @@
 			u.discard(c, target.ID, reason)
 			continue
 		}
-		return c, 0
+		return c
 	}
-	if settling < maxSettling || wait > maxSettleWait {
-		return nil, 0
+	return nil
+}
+
+// beginWait returns the time until a connection to a server settles that no other request waits
+// for, and counts the caller as waiting for it until endWait is called. It returns 0 and counts
+// nothing if there is no such connection or it takes longer than maxSettleWait.
+func (u *Pool) beginWait(id string) time.Duration {
+	settleTime := u.desync.settleTime(u.clock.Now())
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	next := u.waiting[id] // the connections before it are waited for already
+	if next >= len(u.idle[id]) {
+		return 0
+	}
+	wait := settleTime - (u.clock.Now() - u.idle[id][next].idleSince)
+	if wait > maxSettleWait {
+		return 0
+	}
+	u.waiting[id]++
+	return max(wait, time.Nanosecond)
+}
+
+// endWait ends the wait of a request for a connection to a server.
+func (u *Pool) endWait(id string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.waiting[id]--; u.waiting[id] == 0 {
+		delete(u.waiting, id)
 	}
-	return nil, wait
 }
 
 // checkIdle returns the reason for closing a connection that has been idle, or keepOpen if it can
--- a/internal/node/upstream/upstream_test.go
+++ b/internal/node/upstream/upstream_test.go
@@ -159,11 +159,11 @@
 				u.desync.unsolicitedBytes(u.clock.Now())
 			}
 			c.idleSince = u.clock.Now() + time.Hour // it never settles
-			if got, _ := u.takeIdle(p); got != nil || len(u.idle["s0"]) != 1 {
+			if got := u.takeIdle(p); got != nil || len(u.idle["s0"]) != 1 {
 				t.Errorf("got %v of %d unsettled connections, want none", got, len(u.idle["s0"]))
 			}
 			c.idleSince = u.clock.Now() - test.settle
-			if got, _ := u.takeIdle(p); got != c {
+			if got := u.takeIdle(p); got != c {
 				t.Errorf("got %v after it has settled", got)
 			}
 			if got, later := u.desync.settleTime(u.clock.Now()), u.desync.settleTime(u.clock.Now()+cautionPeriod); got != test.settle || test.learned && later != settleTime {
@@ -219,19 +219,30 @@
 	}
 }
 
-// Requests in quick succession must not open a new connection each: once enough connections settle,
-// a request waits for the first of them.
-func TestQuickSuccessionOpensFewConnections(t *testing.T) {
+// Requests in quick succession must not open a new connection each: a request waits for one that
+// settles soon, unless another request waits for it already.
+func TestQuickSuccessionReusesConnections(t *testing.T) {
 	u := newTestPool()
 	u.desync.learned.Store(true)
 	s := NewServer(t, RespondWith("fine"))
-	for range 10 * maxSettling {
+	for range 40 {
 		if o := testAttempt(t, u, s.Addr()); o.Result != decide.Served {
 			t.Fatalf("attempt: %v", o.Result)
 		}
 	}
-	if opened, _ := s.Connections(); opened > maxSettling {
-		t.Errorf("%d connections for %d requests, want at most %d", opened, 10*maxSettling, maxSettling)
+	if opened, _ := s.Connections(); opened != 1 {
+		t.Errorf("%d connections for 40 requests one after another", opened)
+	}
+	u.idle["s0"][0].idleSince = u.clock.Now()
+	if wait := u.beginWait("s0"); wait <= 0 || wait > maxSettleWait {
+		t.Errorf("the first request waits for %v", wait)
+	}
+	if wait := u.beginWait("s0"); wait != 0 {
+		t.Errorf("the second request waits for %v for the same connection", wait)
+	}
+	u.endWait("s0")
+	if len(u.waiting) != 0 {
+		t.Errorf("%d servers are still waited for", len(u.waiting))
 	}
 	u.CloseIdle()
 }
@@ -240,9 +251,7 @@
 func TestCancelWhileConnectionsSettle(t *testing.T) {
 	u := newTestPool()
 	s := NewServer(t, RespondWith("fine"))
-	for range maxSettling {
-		testAttempt(t, u, s.Addr())
-	}
+	testAttempt(t, u, s.Addr())
 	u.mu.Lock()
 	for _, c := range u.idle["s0"] {
 		c.idleSince = u.clock.Now() - CautiousSettleTime + maxSettleWait // they settle just in time to be waited for
