Take a response with both Content-Length and Transfer-Encoding as malformed

Callers could see: the body by one of two lengths that a server tells, on a connection that is used again though the other length ends elsewhere.

Cause: net/http drops Content-Length where there is a Transfer-Encoding, so readResponse saw one length (RFC 9112, 6.3: such a message ought to be handled as an error).

Change: the headers are looked through before they are parsed; a response with both has failed and may have run, and its connection closes. Reading responses has a file of its own.

Headers above 4 KiB are not looked through.

--- a/internal/node/upstream/exchange.go
+++ b/internal/node/upstream/exchange.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -206,65 +205,3 @@
 func appendHeader(to []byte, name, value string) []byte {
 	return append(append(append(append(to, name...), ": "...), value...), "\r\n"...)
 }
-
-// errTooManyCopies means that a server goes on sending responses to earlier requests.
-var errTooManyCopies = errors.New("too many copies of earlier responses")
-
-// readOwnResponse reads the response to the request that was sent last. It skips copies of earlier
-// responses and returns how many there were.
-func (u *Pool) readOwnResponse(c *conn, method string) (resp *http.Response, body []byte, copies int, err error) {
-	for ; copies <= maxCopies; copies++ {
-		if resp, body, err = c.readResponse(method); err != nil {
-			return nil, nil, copies, err
-		}
-		isCopy := resp.StatusCode == http.StatusOK && u.desync.isCopy(u.clock.Now(), c, body)
-		c.responses++
-		if !isCopy {
-			return resp, body, copies, nil
-		}
-		u.desync.unsolicitedBytes(u.clock.Now())
-	}
-	return nil, nil, copies, errTooManyCopies
-}
-
-// readResponse reads a complete response. It keeps at most maxResponseSize bytes, whatever the
-// server sends.
-func (c *conn) readResponse(method string) (*http.Response, []byte, error) {
-	c.responseLimit.N = maxResponseSize
-	resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-	for err == nil && resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols { // interim
-		resp, err = http.ReadResponse(c.reader, &http.Request{Method: method})
-	}
-	if err != nil {
-		return nil, nil, fmt.Errorf("reading the response: %w", err)
-	}
-	// The body isn't closed: Close would first read all of it, or wait for it.
-	switch {
-	case resp.StatusCode == http.StatusSwitchingProtocols:
-		return nil, nil, errors.New("the response switches to another protocol")
-	case resp.ContentLength > MaxBodySize:
-		return nil, nil, fmt.Errorf("the response declares a length above %d bytes", MaxBodySize)
-	case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
-		// The body ends with the connection, so a truncated one can't be told from a complete one.
-		return nil, nil, errors.New("the response has no length")
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxBodySize+1))
-	if err != nil {
-		return nil, nil, fmt.Errorf("reading the response: %w", err)
-	}
-	if len(body) > MaxBodySize {
-		return nil, nil, fmt.Errorf("the response is larger than %d bytes", MaxBodySize)
-	}
-	return resp, body, nil
-}
-
-func isTimeout(err error) bool {
-	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout()
-}
-
-// isConnectionError reports whether the connection ended, orderly or not.
-func isConnectionError(err error) bool {
-	var broken net.Error
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &broken)
-}
--- a/internal/node/upstream/upstream_test.go
+++ b/internal/node/upstream/upstream_test.go
@@ -37,6 +37,8 @@
 		"malformed status":    "HTTP/1.1 abc OK\r\nContent-Length: 4\r\n\r\nfine",
 		"negative length":     "HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\nfine",
 		"conflicting lengths": "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nfine!",
+		"two kinds of length": "HTTP/1.1 200 OK\r\ncontent-length: 4\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\n\r\n",
+		"two kinds, bare LF":  "HTTP/1.1 200 OK\nTransfer-Encoding: chunked\nContent-Length: 4\n\n4\nfine\n0\n\n",
 		"3 GB length":         "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nfine",
 		"no length":           "HTTP/1.1 200 OK\r\n\r\nfine",
 		"malformed chunks":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nfine\r\n",
