Let the module count a connection as idle only once it has settled

Cause: the module took the connection of the answer that had just come for idle. It sent the next call of a row to the same server, which waited or opened a connection, and there a third of the connections come up late; the idle time that it counted was not that of the connection used.

Change: the price of a handshake, the preference for connected servers while connections fail, and the idle time of a send go by the last connection that has settled.

TestSettlingConnections.

--- a/decide/api.go
+++ b/decide/api.go
@@ -102,6 +102,7 @@
 	MaxOpenRequests    int // requests that a node can hold open; 0: unknown
 	MaxRetryAfter      time.Duration
 	ConnIdleTimeout    time.Duration // connections idle for longer are closed
+	ConnSettleTime     time.Duration // connections are not reused sooner after a response; 0: at once
 	ConnectTimeout     time.Duration
 	StreamsPerConn     int // concurrent attempts per connection
 	MayCancel          bool
--- a/decide/choice.go
+++ b/decide/choice.go
@@ -166,7 +166,7 @@
 // connection is needed, its penalty counts in the same way as the cross-zone penalty.
 func (b *Balancer) load(s *server) float64 {
 	load := float64(s.inflight+1) * b.slowness(s)
-	if len(s.idleConns) == 0 {
+	if b.settledConn(s) < 0 {
 		load *= b.penaltyFactor(b.cfg.Penalties.Handshake)
 	}
 	return load
@@ -219,9 +219,10 @@
 	return to
 }
 
-// preferConnected keeps only servers with an idle connection if many connections fail or take too long.
+// preferConnected keeps only servers with an idle connection that has settled if many connections fail or
+// take too long.
 func (b *Balancer) preferConnected(list []*server) []*server {
-	idle := func(s *server) bool { return len(s.idleConns) > 0 }
+	idle := func(s *server) bool { return b.settledConn(s) >= 0 }
 	if b.connectFailureRate > connectFailureThreshold && slices.ContainsFunc(list, idle) {
 		return slices.DeleteFunc(list, func(s *server) bool { return !idle(s) })
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -647,3 +647,32 @@
 		t.Errorf("%d idle connections after a response that closed its own", len(s.idleConns))
 	}
 }
+
+// A connection that settles after its response must not be counted on: neither its price nor its idle time is
+// that of the next send, and a server with a settled one is preferred while new connections fail.
+func TestSettlingConnections(t *testing.T) {
+	b := newFrontNode(2)
+	b.cfg.ConnSettleTime, b.cfg.Penalties.Handshake = 10*ms, 0.5
+	b.now = time.Minute
+	settling, settled := b.servers["s0"], b.servers["s1"]
+	settling.idleConns = []time.Duration{b.now - 5*ms}
+	settled.idleConns = []time.Duration{b.now - time.Second, b.now - 300*ms, b.now - 5*ms}
+	if b.load(settling) <= b.load(settled) {
+		t.Errorf("load %v with a settling connection, %v with a settled one", b.load(settling), b.load(settled))
+	}
+	b.connectFailureRate = 2 * connectFailureThreshold
+	if got := b.preferConnected([]*server{settling, settled}); len(got) != 1 || got[0] != settled {
+		t.Errorf("prefers %d servers, want the one with a settled connection", len(got))
+	}
+	if bucket := b.takeConnection(settled); bucket != 1 || len(settled.idleConns) != 2 || settled.idleConns[1] != b.now-5*ms {
+		t.Errorf("took a connection of bucket %d, left %v", bucket, settled.idleConns)
+	}
+	if bucket := b.takeConnection(settling); bucket != -1 || len(settling.idleConns) != 0 {
+		t.Errorf("took a connection of bucket %d, left %v", bucket, settling.idleConns)
+	}
+	b.cfg.ConnIdleTimeout = 10 * time.Second
+	settled.idleConns = []time.Duration{b.now - 20*time.Second, b.now - 11*time.Second, b.now - 5*ms}
+	if bucket := b.takeConnection(settled); bucket != -1 || len(settled.idleConns) != 1 {
+		t.Errorf("took an expired connection of bucket %d, left %v", bucket, settled.idleConns)
+	}
+}
--- a/decide/retry.go
+++ b/decide/retry.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"slices"
 	"time"
 )
 
@@ -83,12 +84,14 @@
 	if len(s.idleConns) == 0 {
 		return -1
 	}
-	idleTime := b.now - s.idleConns[len(s.idleConns)-1]
-	s.idleConns = s.idleConns[:len(s.idleConns)-1]
+	// If none has settled, the request waits for the one that does so first.
+	used := max(0, b.settledConn(s))
+	idleTime := b.now - s.idleConns[used]
 	if b.cfg.ConnIdleTimeout > 0 && idleTime >= b.cfg.ConnIdleTimeout {
-		s.idleConns = s.idleConns[:0] // closed by the time-out, as are all that were idle for longer
+		s.idleConns = slices.Delete(s.idleConns, 0, used+1) // closed by the time-out, as were all before it
 		return -1
 	}
+	s.idleConns = slices.Delete(s.idleConns, used, used+1)
 	bucket := -1
 	for bound := minIdleTime; idleTime >= bound && bucket < idleBuckets-1; bound *= 2 {
 		bucket++
@@ -101,6 +104,17 @@
 	return bucket
 }
 
+// settledConn returns the index of the idle connection that is used next, the last one that has settled, or
+// -1 if there is none.
+func (b *Balancer) settledConn(s *server) int {
+	for i := len(s.idleConns) - 1; i >= 0; i-- {
+		if b.now-s.idleConns[i] >= b.cfg.ConnSettleTime {
+			return i
+		}
+	}
+	return -1
+}
+
 // recordIdleSend counts whether a send on an idle connection was lost, and finds the shortest idle time
 // after which connections are dead.
 func (b *Balancer) recordIdleSend(a *attempt, lost bool) {
--- a/decide/state.go
+++ b/decide/state.go
@@ -49,7 +49,7 @@
 	refilledAt      time.Duration
 	grantState
 	uptime     timeSpan        // in which the same process is known to have been running
-	idleConns  []time.Duration // when each idle connection became idle; the last one is used first
+	idleConns  []time.Duration // when each idle connection became idle; the last one that has settled is used first
 	inFullList bool            // named by the full list that is being applied
 	listed     bool            // among localServers or remoteServers
 	local      bool            // in this node's zone
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -165,10 +165,12 @@
 }
 
 func newLoop(ctx context.Context, c *Config, clock clock.Clock, up *upstream.Pool, log *slog.Logger) *loop {
+	settings := c.Settings
+	settings.ConnSettleTime = upstream.SettleTime
 	return &loop{
 		ctx:   ctx,
 		clock: clock, settings: &c.Settings, upstream: up, log: log, trace: newTrace(log), initialRoutes: c.Routes,
-		balancer:      decide.New(c.Settings, c.Seed, clock.Now()),
+		balancer:      decide.New(settings, c.Seed, clock.Now()),
 		events:        make(chan any, 256),
 		pending:       map[uint64]*pendingRequest{},
 		servers:       map[string]*knownServer{},
--- a/internal/node/upstream/desync.go
+++ b/internal/node/upstream/desync.go
@@ -12,10 +12,10 @@
 // A response that arrives late or a second time would be taken for the response to the next request
 // on its connection, as responses carry no request identifier.
 const (
-	// settleTime is how long a connection rests after a response before it is used again, so that
+	// SettleTime is how long a connection rests after a response before it is used again, so that
 	// bytes that follow the response arrive while it is idle, where they are noticed.
-	settleTime = 10 * time.Millisecond
-	// CautiousSettleTime takes the place of settleTime until copies can be told by their contents, and
+	SettleTime = 10 * time.Millisecond
+	// CautiousSettleTime takes the place of SettleTime until copies can be told by their contents, and
 	// for a cautionPeriod after a server has sent bytes that belong to no request.
 	CautiousSettleTime = 100 * time.Millisecond
 	cautionPeriod      = time.Minute
@@ -46,7 +46,7 @@
 	if !g.learned.Load() || now < time.Duration(g.cautiousUntil.Load()) {
 		return CautiousSettleTime
 	}
-	return settleTime
+	return SettleTime
 }
 
 // unsolicitedBytes records that a server has sent bytes that belong to no request.
--- a/internal/node/upstream/upstream_test.go
+++ b/internal/node/upstream/upstream_test.go
@@ -147,7 +147,7 @@
 		learned, sawTrailing bool
 		settle               time.Duration
 	}{
-		"copies can't be told yet": {false, false, CautiousSettleTime}, "no trailing bytes seen": {true, false, settleTime},
+		"copies can't be told yet": {false, false, CautiousSettleTime}, "no trailing bytes seen": {true, false, SettleTime},
 		"trailing bytes seen": {true, true, CautiousSettleTime},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -168,7 +168,7 @@
 			if got := u.takeIdle(p); got != c {
 				t.Errorf("got %v after it has settled", got)
 			}
-			if got, later := u.desync.settleTime(u.clock.Now()), u.desync.settleTime(u.clock.Now()+cautionPeriod); got != test.settle || test.learned && later != settleTime {
+			if got, later := u.desync.settleTime(u.clock.Now()), u.desync.settleTime(u.clock.Now()+cautionPeriod); got != test.settle || test.learned && later != SettleTime {
 				t.Errorf("connections settle for %v, and for %v after the time of caution", got, later)
 			}
 			c.close()
