Bound what a wrong suspicion of a copy costs, and rest longer only where none is told

Callers could see: timed-out requests, where a service's answers mostly differ and equal ones follow each other on one connection; found by TestQuickSuccessionReusesConnections on the way (an attempt that waited for 20 s). More connections than needed for a minute after any unsolicited bytes.

Cause: a response that equals the last one on its connection was no evidence while the detector was learning, so it came to suspect services on one connection whose answers repeat; and a suspicion was never taken back. The longer rest of 100 ms held in the pool alone, while the module counts connections as idle after 10 ms.

Change: such a response starts the 16 different ones anew; if a skipped response is followed by no other, it was none, and nothing is suspected for a minute. The longer rest holds only where copies can't be told: after a response other than 200, where responses are equal by nature, and in a node's first 16.

Result: TestWrongSuspicionCostsOneAttempt; TestEqualResponsesAreNoCopies has two services on one connection more (half and a tenth of the answers equal), at most 1 of 5,000 each.

--- a/internal/conns/repeats/detector.go
+++ b/internal/conns/repeats/detector.go
@@ -50,17 +50,31 @@
 		return false
 	}
 	original := &d.records[i]
-	if !r.First && original.conn == r.Conn && now-original.at <= copyWindow {
-		return d.distinct >= minDistinct && now >= d.quietBefore
+	mayBeCopy := !r.First && original.conn == r.Conn && now-original.at <= copyWindow
+	if mayBeCopy && d.Detects(now) {
+		return true
 	}
 	original.conn, original.at = r.Conn, now
-	d.distinct, d.quietBefore = 0, now+equalHold
+	d.distinct = 0
+	if !mayBeCopy {
+		d.quietBefore = now + equalHold
+	}
 	return false
 }
 
+// Refute takes back that a response was a copy: the server has sent no other one in its place.
+func (d *Detector) Refute(now time.Duration) {
+	d.distinct, d.quietBefore = 0, now+equalHold
+}
+
 // Learning reports whether too few responses have been seen to tell whether they differ.
 func (d *Detector) Learning() bool { return d.seen < minDistinct }
 
+// Detects reports whether copies can be told at a time.
+func (d *Detector) Detects(now time.Duration) bool {
+	return d.distinct >= minDistinct && now >= d.quietBefore
+}
+
 // remember adds a response in place of the oldest one.
 func (d *Detector) remember(r record) {
 	if len(d.records) < remembered {
--- a/internal/node/upstream/conn.go
+++ b/internal/node/upstream/conn.go
@@ -21,7 +21,8 @@
 	reader        *bufio.Reader     // reads from responseLimit
 	raw           syscall.RawConn
 	limiter       *ConnLimiter
-	responses     int // responses read, without interim ones
+	responses     int  // responses read, without interim ones
+	lastServed    bool // the last response was a successful one, of which copies may be told
 	idleSince     time.Duration
 	timer         int32  // its timer ID while idle
 	writeBuffer   []byte // reused for the next request
--- a/internal/node/upstream/desync.go
+++ b/internal/node/upstream/desync.go
@@ -3,7 +3,6 @@
 import (
 	"hash/maphash"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"curlewring/internal/conns/repeats"
@@ -15,8 +14,9 @@
 	// SettleTime is how long a connection rests after a response before it is used again, so that
 	// bytes that follow the response arrive while it is idle, where they are noticed.
 	SettleTime = 10 * time.Millisecond
-	// CautiousSettleTime takes the place of SettleTime until copies can be told by their contents, and
-	// for a cautionPeriod after a server has sent bytes that belong to no request.
+	// CautiousSettleTime takes the place of SettleTime until it is known whether copies can be told by
+	// their contents, and where they can't for a cautionPeriod after a server has sent bytes that
+	// belong to no request.
 	CautiousSettleTime = 100 * time.Millisecond
 	cautionPeriod      = time.Minute
 	// maxSettleWait is the longest wait of a request for a connection that is settling. A new one costs
@@ -29,12 +29,11 @@
 // desyncGuard keeps responses from being taken for those of other requests. It is safe for
 // concurrent use.
 type desyncGuard struct {
-	cautiousUntil atomic.Int64 // a time of the clock; 0: no server has sent unsolicited bytes
-	learned       atomic.Bool  // enough responses have been seen to tell copies, or that they can't be told
-	seed          maphash.Seed
+	seed maphash.Seed
 
-	mu      sync.Mutex
-	repeats *repeats.Detector
+	mu            sync.Mutex
+	repeats       *repeats.Detector
+	cautiousUntil time.Duration // 0: no server has sent unsolicited bytes
 }
 
 func newDesyncGuard() *desyncGuard {
@@ -42,8 +41,13 @@
 }
 
 // settleTime returns how long a connection has to rest before it is used again.
-func (g *desyncGuard) settleTime(now time.Duration) time.Duration {
-	if !g.learned.Load() || now < time.Duration(g.cautiousUntil.Load()) {
+func (g *desyncGuard) settleTime(now time.Duration, c *conn) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.repeats.Learning() {
+		return CautiousSettleTime
+	}
+	if now < g.cautiousUntil && !(c.lastServed && g.repeats.Detects(now)) {
 		return CautiousSettleTime
 	}
 	return SettleTime
@@ -51,7 +55,9 @@
 
 // unsolicitedBytes records that a server has sent bytes that belong to no request.
 func (g *desyncGuard) unsolicitedBytes(now time.Duration) {
-	g.cautiousUntil.Store(int64(now + cautionPeriod))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cautiousUntil = now + cautionPeriod
 }
 
 // isCopy takes the body of a successful response and reports whether the response is a copy of an
@@ -60,9 +66,13 @@
 	digest := maphash.Bytes(g.seed, body)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	copied := g.repeats.IsCopy(now, repeats.Response{Conn: c.number, First: c.responses == 0, Digest: digest})
-	if !g.repeats.Learning() {
-		g.learned.Store(true)
-	}
-	return copied
+	return g.repeats.IsCopy(now, repeats.Response{Conn: c.number, First: c.responses == 0, Digest: digest})
+}
+
+// refuteCopy records that a server has sent nothing in place of a response that was taken for a
+// copy.
+func (g *desyncGuard) refuteCopy(now time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.repeats.Refute(now)
 }
--- a/internal/node/upstream/pool.go
+++ b/internal/node/upstream/pool.go
@@ -111,13 +111,12 @@
 // takeIdle removes and returns the most recently used idle connection to a server that has settled.
 // It returns nil if there is none.
 func (u *Pool) takeIdle(target *Target) *conn {
-	settleTime := u.desync.settleTime(u.clock.Now())
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for at := len(u.idle[target.ID]) - 1; at >= 0; at-- {
 		c := u.idle[target.ID][at]
 		idleTime := u.clock.Now() - c.idleSince
-		if idleTime < settleTime && c.address == target.Address {
+		if c.address == target.Address && idleTime < u.desync.settleTime(u.clock.Now(), c) {
 			continue
 		}
 		u.idle[target.ID] = slices.Delete(u.idle[target.ID], at, at+1)
@@ -135,14 +134,14 @@
 // for, and counts the caller as waiting for it until endWait is called. It returns 0 and counts
 // nothing if there is no such connection or it takes longer than maxSettleWait.
 func (u *Pool) beginWait(id string) time.Duration {
-	settleTime := u.desync.settleTime(u.clock.Now())
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	next := u.waiting[id] // the connections before it are waited for already
 	if next >= len(u.idle[id]) {
 		return 0
 	}
-	wait := settleTime - (u.clock.Now() - u.idle[id][next].idleSince)
+	c, now := u.idle[id][next], u.clock.Now()
+	wait := u.desync.settleTime(now, c) - (now - c.idleSince)
 	if wait > maxSettleWait {
 		return 0
 	}
--- a/internal/node/upstream/response.go
+++ b/internal/node/upstream/response.go
@@ -17,9 +17,13 @@
 func (u *Pool) readOwnResponse(c *conn, method string) (resp *http.Response, body []byte, copies int, err error) {
 	for ; copies <= maxCopies; copies++ {
 		if resp, body, err = c.readResponse(method); err != nil {
+			if copies > 0 && isTimeout(err) {
+				u.desync.refuteCopy(u.clock.Now())
+			}
 			return nil, nil, copies, err
 		}
-		isCopy := resp.StatusCode == http.StatusOK && u.desync.isCopy(u.clock.Now(), c, body)
+		c.lastServed = resp.StatusCode == http.StatusOK
+		isCopy := c.lastServed && u.desync.isCopy(u.clock.Now(), c, body)
 		c.responses++
 		if !isCopy {
 			return resp, body, copies, nil
