Say in a scale run's error what became of the requests that were not served

Change: the error counts late, refused and failed requests and tries, and has the slowest served one.

--- a/internal/rig/scale/latency.go
+++ b/internal/rig/scale/latency.go
@@ -85,7 +85,8 @@
 	for _, class := range generator.Report() {
 		if class.Name == measuredClass {
 			if class.Served*100 < class.Requests*99 || class.Served == 0 {
-				return 0, 0, fmt.Errorf("only %d of %d requests were served", class.Served, class.Requests)
+				return 0, 0, fmt.Errorf("only %d of %d requests were served; %d late, %d refused, %d failed, %d tries, slowest %v",
+					class.Served, class.Requests, class.Late, class.Refused, class.Failed, class.Tries, class.Max)
 			}
 			return class.P50, class.P99, nil
 		}
