Report a simulated node that can't start in place of a panic in the scale rig

Seen: two scale runs whose process ids collide modulo 32 share loopback addresses; the second ended with a nil pointer in fleetRun.close (8 of 60 concurrent runs) rather than with the error of the listener.

Cause: start overwrote the empty set of simulated nodes with the nil of a failed start, and close uses it.

Change: the set is replaced only by a started one. RunFleet's error is now the listener's.

--- a/internal/rig/scale/fleet.go
+++ b/internal/rig/scale/fleet.go
@@ -179,11 +179,13 @@
 }
 
 // start starts the simulated nodes, then the lab with the real ones.
-func (f *fleetRun) start(ctx context.Context, progress func(string)) (err error) {
+func (f *fleetRun) start(ctx context.Context, progress func(string)) error {
 	progress(fmt.Sprintf("%d simulated nodes", f.settings.SimulatedNodes))
-	if f.simulated, err = startSimulatedNodes(f.settings.SimulatedNodes, f.settings.Zones); err != nil {
+	simulated, err := startSimulatedNodes(f.settings.SimulatedNodes, f.settings.Zones)
+	if err != nil {
 		return err
 	}
+	f.simulated = simulated
 	progress(fmt.Sprintf("%d real nodes", f.settings.RealNodes))
 	f.lab, err = lab.Open(ctx, lab.Options{
 		Plan: latencyPlan(f.settings.Servers), Nodes: f.settings.RealNodes, Membership: true, NoRelays: true, Seeds: f.simulated.seeds,
