Do not take the same response to an equal request for a late copy

Callers saw: a request failed with "out of time" although its server had answered within 3 ms.

So any client that asks for the same twice within a second, where answers are otherwise different, could lose a request a minute at each node.

A dump 0.3 s into the wait: the handler had ended after 3 ms, the server's goroutine waited for the next request, both queues of the connection were empty, and the node had read the answer. Nothing was late or refused.

Change: the detector gets a digest of method, URI and body. Equal answers to equal requests no longer switch the detection off for others.

TestWrongSuspicionCostsOneAttempt asked for the same five times; it asks for different things now and wants the same results as before.

Left: a copy later than the rest that arrives when the same is asked again on its connection is served, until such requests have been seen to have different answers.

--- a/internal/node/upstream/desync.go
+++ b/internal/node/upstream/desync.go
@@ -62,11 +62,25 @@
 
 // isCopy takes the body of a successful response and reports whether the response is a copy of an
 // earlier one on its connection.
-func (g *desyncGuard) isCopy(now time.Duration, c *conn, body []byte) bool {
-	digest := maphash.Bytes(g.seed, body)
+func (g *desyncGuard) isCopy(now time.Duration, c *conn, request *Request, body []byte) bool {
+	response := repeats.Response{
+		Conn: c.number, First: c.responses == 0, Digest: maphash.Bytes(g.seed, body), Request: g.requestDigest(request),
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.repeats.IsCopy(now, repeats.Response{Conn: c.number, First: c.responses == 0, Digest: digest})
+	return g.repeats.IsCopy(now, response)
+}
+
+// requestDigest returns a digest of what a request asks for, without what identifies the request.
+func (g *desyncGuard) requestDigest(request *Request) uint64 {
+	var hash maphash.Hash
+	hash.SetSeed(g.seed)
+	hash.WriteString(request.Method)
+	hash.WriteByte(' ')
+	hash.WriteString(request.URI)
+	hash.WriteByte('\n')
+	hash.Write(request.Body)
+	return hash.Sum64()
 }
 
 // refuteCopy records that a server has sent nothing in place of a response that was taken for a
--- a/internal/node/upstream/response.go
+++ b/internal/node/upstream/response.go
@@ -14,16 +14,16 @@
 
 // readOwnResponse reads the response to the request that was sent last. It skips copies of earlier
 // responses and returns how many there were.
-func (u *Pool) readOwnResponse(c *conn, method string) (resp *http.Response, body []byte, copies int, err error) {
+func (u *Pool) readOwnResponse(c *conn, request *Request) (resp *http.Response, body []byte, copies int, err error) {
 	for ; copies <= maxCopies; copies++ {
-		if resp, body, err = c.readResponse(method); err != nil {
+		if resp, body, err = c.readResponse(request.Method); err != nil {
 			if copies > 0 && isTimeout(err) {
 				u.desync.refuteCopy(u.clock.Now())
 			}
 			return nil, nil, copies, err
 		}
 		c.lastServed = resp.StatusCode == http.StatusOK
-		isCopy := c.lastServed && u.desync.isCopy(u.clock.Now(), c, body)
+		isCopy := c.lastServed && u.desync.isCopy(u.clock.Now(), c, request, body)
 		c.responses++
 		if !isCopy {
 			return resp, body, copies, nil
--- a/internal/node/upstream/upstream_test.go
+++ b/internal/node/upstream/upstream_test.go
@@ -145,7 +145,7 @@
 // equal.
 func learnResponses(u *Pool, different bool) {
 	for i := uint64(0); u.desync.repeats.Learning(); i++ {
-		r := repeats.Response{Conn: 1<<32 + i}
+		r := repeats.Response{Conn: 1<<32 + i, Request: i}
 		if different {
 			r.Digest = i
 		}
@@ -248,25 +248,41 @@
 	}
 }
 
-// A response that only looks like a copy, as no other one arrives in its place, costs one attempt.
-// Equal responses after it are served.
-func TestWrongSuspicionCostsOneAttempt(t *testing.T) {
+// equalResponses makes five requests on one connection, whose responses are equal but not copies,
+// and returns the results.
+func equalResponses(t *testing.T, uri func(i int) string) []decide.Result {
+	t.Helper()
 	u := newTestPool()
+	defer u.CloseIdle()
 	s := NewServer(t, RespondWith("fine"))
 	learnResponses(u, true)
 	var results []decide.Result
-	for range 5 {
+	for i := range 5 {
 		if stack := u.idle["s0"]; len(stack) > 0 {
 			stack[0].idleSince -= CautiousSettleTime
 		}
-		q := &Request{Method: http.MethodGet, URI: "/look/1", Host: "app.svc", Txn: NewRequestID()}
+		q := &Request{Method: http.MethodGet, URI: uri(i), Host: "app.svc", Txn: NewRequestID()}
 		until := u.clock.Now() + 200*time.Millisecond
 		results = append(results, u.Attempt(&Canceler{}, &Target{ID: "s0", Address: s.Addr()}, q, "", until, until).Result)
 	}
+	return results
+}
+
+// A response that only looks like a copy, as no other one arrives in its place, costs one attempt.
+// Equal responses after it are served.
+func TestWrongSuspicionCostsOneAttempt(t *testing.T) {
+	results := equalResponses(t, func(i int) string { return fmt.Sprintf("/look/%d", i) })
 	if want := []decide.Result{decide.Served, decide.TimedOut, decide.Served, decide.Served, decide.Served}; !slices.Equal(results, want) {
 		t.Errorf("results %v, want %v", results, want)
 	}
-	u.CloseIdle()
+}
+
+// Asking for the same again on a connection must not be mistaken for the server repeating itself.
+func TestEqualRequestsAreServed(t *testing.T) {
+	results := equalResponses(t, func(int) string { return "/look/1" })
+	if want := slices.Repeat([]decide.Result{decide.Served}, 5); !slices.Equal(results, want) {
+		t.Errorf("results %v, want %v", results, want)
+	}
 }
 
 // Requests in quick succession must not open a new connection each: a request waits for one that
