Serve responses without a length that end with their connection

Callers saw: each answer without Content-Length or chunks was failed, also when it had come whole and the server had closed the connection in order.

Change: the body of such a response is read until the server closes; a reset or a body of more than 64 KiB fails the attempt as before. A server that says nothing for 250 ms and keeps the connection open has sent a malformed response, as before (it was at once). The limit on a whole response is no end of such a body.

TestMalformedResponses passes unchanged.

--- a/internal/node/upstream/canceler.go
+++ b/internal/node/upstream/canceler.go
@@ -68,6 +68,15 @@
 	return true
 }
 
+// setReadDeadline changes the deadline for reading, unless the attempt has been canceled.
+func (t *Canceler) setReadDeadline(deadline time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conn != nil && !t.canceled {
+		t.conn.SetReadDeadline(deadline)
+	}
+}
+
 // detach ends the wait and reports whether the attempt was not canceled. Only then is the
 // connection still usable.
 func (t *Canceler) detach() bool {
--- a/internal/node/upstream/exchange.go
+++ b/internal/node/upstream/exchange.go
@@ -100,7 +100,7 @@
 	if o := u.write(canceler, c, target, request, extraHeaders, sendBy, until); o.Err != nil {
 		return o, CloseNotSent
 	}
-	resp, body, copies, err := u.readOwnResponse(c, request)
+	resp, body, copies, err := u.readOwnResponse(c, canceler, request, until)
 	if err != nil {
 		return Outcome{Result: failureOf(err, canceler, c), Err: err}, CloseAttemptFailed
 	}
--- a/internal/node/upstream/response.go
+++ b/internal/node/upstream/response.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"time"
 )
 
 // errTooManyCopies means that a server goes on sending responses to earlier requests.
@@ -14,9 +15,9 @@
 
 // readOwnResponse reads the response to the request that was sent last. It skips copies of earlier
 // responses and returns how many there were.
-func (u *Pool) readOwnResponse(c *conn, request *Request) (resp *http.Response, body []byte, copies int, err error) {
+func (u *Pool) readOwnResponse(c *conn, canceler *Canceler, request *Request, until time.Duration) (resp *http.Response, body []byte, copies int, err error) {
 	for ; copies <= maxCopies; copies++ {
-		if resp, body, err = c.readResponse(request.Method); err != nil {
+		if resp, body, err = u.readResponse(c, canceler, request.Method, until); err != nil {
 			if copies > 0 && isTimeout(err) {
 				u.desync.refuteCopy(u.clock.Now())
 			}
@@ -35,7 +36,7 @@
 
 // readResponse reads a complete response. It keeps at most maxResponseSize bytes, whatever the
 // server sends.
-func (c *conn) readResponse(method string) (*http.Response, []byte, error) {
+func (u *Pool) readResponse(c *conn, canceler *Canceler, method string, until time.Duration) (*http.Response, []byte, error) {
 	c.responseLimit.N = maxResponseSize
 	resp, err := c.readHead(method)
 	for err == nil && resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols { // interim
@@ -50,15 +51,17 @@
 		return nil, nil, errors.New("the response switches to another protocol")
 	case resp.ContentLength > MaxBodySize:
 		return nil, nil, fmt.Errorf("the response declares a length above %d bytes", MaxBodySize)
-	case resp.ContentLength < 0 && len(resp.TransferEncoding) == 0:
-		// The body ends with the connection, so a truncated one can't be told from a complete one.
-		return nil, nil, errors.New("the response has no length")
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxBodySize+1))
+	reader := io.Reader(resp.Body)
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		reader = &closeDelimitedBody{body: resp.Body, pool: u, canceler: canceler, until: until}
+	}
+	body, err := io.ReadAll(io.LimitReader(reader, MaxBodySize+1))
 	if err != nil {
 		return nil, nil, fmt.Errorf("reading the response: %w", err)
 	}
-	if len(body) > MaxBodySize {
+	// The end of a body without a length may be that of responseLimit.
+	if len(body) > MaxBodySize || c.responseLimit.N <= 0 {
 		return nil, nil, fmt.Errorf("the response is larger than %d bytes", MaxBodySize)
 	}
 	return resp, body, nil
@@ -108,6 +111,33 @@
 	return crlf
 }
 
+// closeTimeout is the longest silence of a server in a body that ends with the connection. A server
+// that keeps the connection open would hold the request until its deadline.
+const closeTimeout = 250 * time.Millisecond
+
+// errNotClosed means that a server neither told the length of a response nor closed the connection.
+var errNotClosed = errors.New("the response has no length, and the connection stays open")
+
+// closeDelimitedBody reads the body of a response without a length. It ends when the server closes
+// the connection in order (RFC 9112, 6.3); a reset is an error, as the body is incomplete.
+type closeDelimitedBody struct {
+	body     io.Reader
+	pool     *Pool
+	canceler *Canceler
+	until    time.Duration // deadline of the attempt
+}
+
+// Read returns errNotClosed after a silence of closeTimeout.
+func (b *closeDelimitedBody) Read(p []byte) (int, error) {
+	limit := b.pool.clock.Now() + closeTimeout
+	b.canceler.setReadDeadline(b.pool.clock.WallTime(min(limit, b.until)))
+	n, err := b.body.Read(p)
+	if err != nil && isTimeout(err) && limit < b.until {
+		err = errNotClosed
+	}
+	return n, err
+}
+
 func isTimeout(err error) bool {
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
--- a/internal/node/upstream/upstream_test.go
+++ b/internal/node/upstream/upstream_test.go
@@ -89,6 +89,72 @@
 	}
 }
 
+// A response without a length is complete if the server closes the connection in order, and broken
+// off if it resets the connection.
+func TestResponsesWithoutALength(t *testing.T) {
+	const ok, busy = "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 503 Busy\r\nX-Turned-Away: 1\r\n\r\n"
+	for name, test := range map[string]struct {
+		head, body string
+		reset      bool
+		result     decide.Result
+	}{
+		"closed":             {ok, "fine", false, decide.Served},
+		"closed, no body":    {ok, "", false, decide.Served},
+		"closed, HTTP/1.0":   {"HTTP/1.0 200 OK\r\n\r\n", "fine", false, decide.Served},
+		"closed, refused":    {busy, "try later", false, decide.Rejected},
+		"closed, largest":    {ok, strings.Repeat("x", MaxBodySize), false, decide.Served},
+		"closed, too large":  {ok, strings.Repeat("x", MaxBodySize+1), false, decide.Malformed},
+		"closed, large head": {"HTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("x", maxResponseSize-MaxBodySize) + "\r\n\r\n", strings.Repeat("x", MaxBodySize), false, decide.Malformed},
+		"reset":              {ok, "fine", true, decide.ConnectionLost},
+		"reset, no body":     {ok, "", true, decide.ConnectionLost},
+		"reset, refused":     {busy, "try", true, decide.ConnectionLost},
+	} {
+		t.Run(name, func(t *testing.T) {
+			u := newTestPool()
+			address := RawServer(t, func(c net.Conn) {
+				io.WriteString(c, test.head+test.body)
+				if test.reset {
+					c.(*net.TCPConn).SetLinger(0)
+				}
+				c.Close()
+			})
+			o := testAttempt(t, u, address)
+			if o.Result != test.result || !o.ConnClosed {
+				t.Errorf("result %v, connection closed: %v, error %v", o.Result, o.ConnClosed, o.Err)
+			}
+			if o.Result == decide.Served && string(o.Response.Body) != test.body {
+				t.Errorf("a body of %d bytes, want %d", len(o.Response.Body), len(test.body))
+			}
+		})
+	}
+}
+
+// Waiting for the end of a response without a length must end with the attempt.
+func TestEndOfWaitForAClose(t *testing.T) {
+	u, sent := newTestPool(), make(chan struct{}, 1)
+	address := RawServer(t, func(c net.Conn) {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nfine")
+		sent <- struct{}{}
+	})
+	q := &Request{Method: http.MethodGet, URI: "/look/1", Host: "app.svc", Txn: NewRequestID()}
+	until := u.clock.Now() + closeTimeout/2
+	if o := u.Attempt(&Canceler{}, &Target{ID: "s0", Address: address}, q, "", until, until); o.Result != decide.TimedOut {
+		t.Errorf("at the deadline: result %v", o.Result)
+	}
+	<-sent
+	canceler, canceled := &Canceler{}, make(chan struct{})
+	go func() {
+		defer close(canceled)
+		<-sent
+		canceler.Cancel()
+	}()
+	until = u.clock.Now() + WaitTimeout
+	if o := u.Attempt(canceler, &Target{ID: "s0", Address: address}, q, "", until, until); o.Result != decide.Cancelled {
+		t.Errorf("canceled: result %v", o.Result)
+	}
+	<-canceled
+}
+
 // Interim responses, and malformed values of headers that the node doesn't use, don't spoil a valid
 // response.
 func TestInterimResponsesAndUnknownHeaders(t *testing.T) {
