Play servers whose answers end with their connection, whole or cut off, in the lab

Change: the stand-in's fault unframed sends answers without a length and closes, or resets in the middle of the body, for the fraction by.

--- a/internal/rig/standin/fault.go
+++ b/internal/rig/standin/fault.go
@@ -20,7 +20,8 @@
 	At       time.Duration
 	Duration time.Duration
 	// Magnitude depends on the kind. slow: slowdown factor; lag: extra seconds; backup: age in seconds; backlog:
-	// seconds of work; lose, twice, damage: fraction; late: seconds; repeat: longest delay in milliseconds.
+	// seconds of work; lose, twice, damage: fraction; late: seconds; repeat: longest delay in milliseconds;
+	// unframed: fraction of the answers that are cut off.
 	Magnitude float64
 }
 
@@ -29,7 +30,8 @@
 	return map[string]string{
 		"slow": "boxes", "stuck": "boxes", "reset": "boxes", "refuse": "boxes", "silent": "boxes", "crash": "boxes",
 		"drain": "boxes", "leave": "boxes", "garble": "boxes", "repeat": "boxes", "error": "boxes", "turnaway": "boxes",
-		"lag": "discovery", "outage": "discovery", "empty": "discovery", "backup": "discovery", "blackhole": "discovery",
+		"unframed": "boxes",
+		"lag":      "discovery", "outage": "discovery", "empty": "discovery", "backup": "discovery", "blackhole": "discovery",
 		"backlog": "discovery", "move": "discovery",
 		"kill": "node", "stop": "node", "term": "node",
 		"cut": "links", "lose": "links", "late": "links", "twice": "links", "damage": "links",
@@ -51,7 +53,7 @@
 	kind, rest, _ := strings.Cut(text, ":")
 	f := Fault{Kind: kind, At: 2 * time.Second, Duration: 3 * time.Second, Magnitude: 8}
 	target, ok := faultTargets()[kind]
-	if target == "links" {
+	if target == "links" || kind == "unframed" {
 		f.Magnitude = 0.3
 	}
 	if !ok {
@@ -98,6 +100,9 @@
 	if target == "links" && kind != "late" && kind != "cut" && f.Magnitude > 1 {
 		return f, fmt.Errorf("fault %q: by is %v, allowed: 0 to 1", text, f.Magnitude)
 	}
+	if kind == "unframed" && f.Magnitude > 1 {
+		return f, fmt.Errorf("fault %q: by is %v, allowed: above 0, up to 1", text, f.Magnitude)
+	}
 	if target == "node" && f.Node == "" {
 		return f, fmt.Errorf("fault %q: set node", text)
 	}
@@ -253,6 +258,8 @@
 			s.setFailure(malformed, 1)
 		case "repeat":
 			s.startRepeating(time.Duration(fault.Magnitude * float64(time.Millisecond)))
+		case "unframed":
+			s.startUnframed(fault.Magnitude)
 		case "error":
 			s.setFailure(failing, 1)
 		case "turnaway":
--- a/internal/rig/standin/server.go
+++ b/internal/rig/standin/server.go
@@ -32,6 +32,7 @@
 	unresponsive             // neither receives nor sends, as if its machine had vanished
 	malformed                // executes requests and sends malformed answers
 	repeating                // sends each answer a second time, some time later
+	unframed                 // sends answers without a length and ends the connection
 	failing                  // executes nothing and answers 500
 	rejecting                // answers everything with X-Turned-Away
 	crashed                  // its process has ended
@@ -84,6 +85,7 @@
 	failure         failureMode
 	slowdown        float64       // factor on the duration of work
 	longestRepeat   time.Duration // while repeating: longest time between an answer and its repetition
+	cutFraction     float64       // while unframed: fraction of the answers that are cut off by a reset
 	draining        bool
 	startedAt       time.Duration // 0: long ago
 	admitted        int           // requests in work or in the queue
@@ -412,6 +414,10 @@
 	// Recorded before writing: the node may forward the answer before this goroutine runs again.
 	a.end(judge.Succeeded)
 	text := answerText(s.ID, a.requestID)
+	if j.failure == unframed {
+		s.answerUnframed(w, text)
+		return
+	}
 	w.Header().Set("Content-Type", "text/plain")
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	io.WriteString(w, text)
