--- a/internal/node/upstream/response_test.go
+++ b/internal/node/upstream/response_test.go
@@ -8,7 +8,6 @@
 	"testing"
 
 	"curlewring/decide"
-	"curlewring/internal/node/clock"
 	. "curlewring/internal/node/nodetest"
 )
 
