Count a cut-off response without a length as malformed, not as a lost connection

Cause: since a reset in the body of such a response counted as a connection lost before a response. Two in a row take a server out, they count against its zone, and idle connections are held to be stale, although the server had responded.

Change: a break of the connection inside such a body is malformed. Breaks before the end of the head, or in a body with a length, are lost connections as before.

--- a/internal/node/upstream/response.go
+++ b/internal/node/upstream/response.go
@@ -115,8 +115,13 @@
 // that keeps the connection open would hold the request until its deadline.
 const closeTimeout = 250 * time.Millisecond
 
-// errNotClosed means that a server neither told the length of a response nor closed the connection.
-var errNotClosed = errors.New("the response has no length, and the connection stays open")
+var (
+	// errNotClosed means that a server neither told the length of a response nor closed the connection.
+	errNotClosed = errors.New("the response has no length, and the connection stays open")
+	// errCutOff means that the connection broke in a body without a length. The server did respond, so
+	// its connections are not lost.
+	errCutOff = errors.New("the response has no length, and was cut off")
+)
 
 // closeDelimitedBody reads the body of a response without a length. It ends when the server closes
 // the connection in order (RFC 9112, 6.3); a reset is an error, as the body is incomplete.
@@ -127,13 +132,18 @@
 	until    time.Duration // deadline of the attempt
 }
 
-// Read returns errNotClosed after a silence of closeTimeout.
+// Read returns errNotClosed after a silence of closeTimeout, and errCutOff if the connection breaks.
 func (b *closeDelimitedBody) Read(p []byte) (int, error) {
 	limit := b.pool.clock.Now() + closeTimeout
 	b.canceler.setReadDeadline(b.pool.clock.WallTime(min(limit, b.until)))
 	n, err := b.body.Read(p)
-	if err != nil && isTimeout(err) && limit < b.until {
-		err = errNotClosed
+	switch {
+	case err == nil || err == io.EOF:
+		return n, err
+	case !isTimeout(err):
+		return n, fmt.Errorf("%w: %v", errCutOff, err)
+	case limit < b.until:
+		return n, errNotClosed
 	}
 	return n, err
 }
