Test the end of the wait for a close without a deadline that a busy machine misses

Need: TestEndOfWaitForAClose gave an attempt 125 ms, in which a busy machine may not even have sent the request; that is another result. Not seen, by reading.

Change: two tests in its place. TestSilenceInAResponseWithoutALength checks both ends of a silence without a server: the attempt's time is a time-out, 250 ms a malformed response (before, only the first was checked here). TestCancelInAResponseWithoutALength has the part about cancelling, unchanged in what it wants.

--- a/internal/node/upstream/response_test.go
+++ b/internal/node/upstream/response_test.go
@@ -4,8 +4,11 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
+	"testing/iotest"
+	"time"
 
 	"curlewring/decide"
 	. "curlewring/internal/node/nodetest"
@@ -112,28 +115,41 @@
 	}
 }
 
-// Waiting for the end of a response without a length must end with the attempt.
-func TestEndOfWaitForAClose(t *testing.T) {
-	u, sent := newTestPool(), make(chan struct{}, 1)
+// Silence in a response without a length is the end of the attempt's time if that comes first, and a
+// malformed response otherwise.
+func TestSilenceInAResponseWithoutALength(t *testing.T) {
+	u := newTestPool()
+	for name, test := range map[string]struct {
+		left   time.Duration
+		result decide.Result
+	}{"the attempt ends first": {closeTimeout / 2, decide.TimedOut}, "the silence is too long": {WaitTimeout, decide.Malformed}} {
+		silent := iotest.ErrReader(os.ErrDeadlineExceeded)
+		body := &closeDelimitedBody{body: silent, pool: u, canceler: &Canceler{}, until: u.clock.Now() + test.left}
+		_, err := body.Read(make([]byte, 1))
+		open := &conn{responseLimit: &io.LimitedReader{N: maxResponseSize}}
+		if result := failureOf(err, body.canceler, open); result != test.result {
+			t.Errorf("%s: result %v, error %v", name, result, err)
+		}
+	}
+}
+
+// Cancelling an attempt must end the wait for the end of a response without a length.
+func TestCancelInAResponseWithoutALength(t *testing.T) {
+	u, sent, canceler := newTestPool(), make(chan struct{}), &Canceler{}
 	address := RawServer(t, func(c net.Conn) {
 		io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nfine")
-		sent <- struct{}{}
+		close(sent)
 	})
-	q := &Request{Method: http.MethodGet, URI: "/look/1", Host: "app.svc", Txn: NewRequestID()}
-	until := u.clock.Now() + closeTimeout/2
-	if o := u.Attempt(&Canceler{}, &Target{ID: "s0", Address: address}, q, "", until, until); o.Result != decide.TimedOut {
-		t.Errorf("at the deadline: result %v", o.Result)
-	}
-	<-sent
-	canceler, canceled := &Canceler{}, make(chan struct{})
+	canceled := make(chan struct{})
 	go func() {
 		defer close(canceled)
 		<-sent
 		canceler.Cancel()
 	}()
-	until = u.clock.Now() + WaitTimeout
+	q := &Request{Method: http.MethodGet, URI: "/look/1", Host: "app.svc", Txn: NewRequestID()}
+	until := u.clock.Now() + WaitTimeout
 	if o := u.Attempt(canceler, &Target{ID: "s0", Address: address}, q, "", until, until); o.Result != decide.Cancelled {
-		t.Errorf("canceled: result %v", o.Result)
+		t.Errorf("result %v", o.Result)
 	}
 	<-canceled
 }
