Share what two tests of the stand-in's faults do to get an answer

Need: the test of unframed answers repeated ten lines of the one of repeated answers.

Change: requestUnderFault starts the fault and sends the request for both.

--- a/internal/rig/standin/repeat_test.go
+++ b/internal/rig/standin/repeat_test.go
@@ -9,10 +9,9 @@
 	"time"
 )
 
-// A repeated answer must be the same bytes as the first one, on the same connection.
-func TestRepeatFaultSendsAnswersTwice(t *testing.T) {
-	f := startFleet(t, smallPlan())
-	fault := Fault{Kind: "repeat", Server: "0", Magnitude: 2}
+// requestUnderFault starts a fault of the first server, sends it a request and returns what it answers.
+func requestUnderFault(t *testing.T, f *Fleet, fault Fault) *bufio.Reader {
+	t.Helper()
 	if err := f.startFault(&fault, nil); err != nil {
 		t.Fatal(err)
 	}
@@ -20,10 +19,16 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer conn.Close()
+	t.Cleanup(func() { conn.Close() })
 	conn.SetDeadline(time.Now().Add(5 * time.Second))
 	io.WriteString(conn, "GET /zustand/1 HTTP/1.1\r\nHost: app.svc\r\nX-Txn: 00000000000000aa\r\nX-Remaining-Ms: 1000\r\n\r\n")
-	reader := bufio.NewReader(conn)
+	return bufio.NewReader(conn)
+}
+
+// A repeated answer must be the same bytes as the first one, on the same connection.
+func TestRepeatFaultSendsAnswersTwice(t *testing.T) {
+	f := startFleet(t, smallPlan())
+	reader := requestUnderFault(t, f, Fault{Kind: "repeat", Server: "0", Magnitude: 2})
 	for number := range 2 {
 		response, err := http.ReadResponse(reader, nil)
 		if err != nil {
