--- /dev/null
+++ b/review/_standin/main.go
@@ -0,0 +1,38 @@
+// Command review-standin plays clients, servers and discovery for the cases of the review. It uses the standard library
+// and loopback addresses only.
+//
+//	review-standin fleet DIR N       files of N nodes that are members of one fleet; serves discovery and one server until it is ended
+//	review-standin worker FILE LEASE a task that takes 20 s and notes its work in FILE, for case 1
+//	review-standin overlap FILE      exit code 1 if FILE shows two tasks at work at a time, for case 1
+package main
+
+import (
+	"fmt"
+	"os"
+)
+
+// Exit codes of all commands.
+const (
+	held      = 0
+	broken    = 1
+	cannotRun = 2
+)
+
+func main() {
+	if len(os.Args) < 2 {
+		fmt.Fprintln(os.Stderr, "usage: review-standin COMMAND ...")
+		os.Exit(cannotRun)
+	}
+	commands := map[string]func(args []string) (int, error){"fleet": fleet, "worker": worker, "overlap": overlap}
+	command, ok := commands[os.Args[1]]
+	if !ok {
+		fmt.Fprintln(os.Stderr, "review-standin: no such command:", os.Args[1])
+		os.Exit(cannotRun)
+	}
+	code, err := command(os.Args[2:])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "review-standin:", err)
+		code = cannotRun
+	}
+	os.Exit(code)
+}
