--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -23,7 +23,7 @@
 		fmt.Fprintln(os.Stderr, "usage: review-standin COMMAND ...")
 		os.Exit(cannotRun)
 	}
-	commands := map[string]func(args []string) (int, error){"fleet": fleet, "worker": worker, "overlap": overlap}
+	commands := map[string]func(args []string) (int, error){"fleet": fleet, "worker": worker, "overlap": overlap, "copies": copies}
 	command, ok := commands[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "review-standin: no such command:", os.Args[1])
