Let the review's stand-ins write configurations without a list of servers

Need: README has the list as optional; a case that was tried needs a configuration without it. Change: a node's known list in the stand-ins may be missing. No case changes.

--- a/review/_standin/lease.go
+++ b/review/_standin/lease.go
@@ -50,7 +50,7 @@
 	for i := range count {
 		name := fmt.Sprint("n", i+1)
 		n := node{
-			name: name, listen: clients[i], discovery: discovery, memoryMB: 192, nodes: count, tries: 4, known: *servers,
+			name: name, listen: clients[i], discovery: discovery, memoryMB: 192, nodes: count, tries: 4, known: servers,
 			classes: []class{{Name: "zustand", Semantics: "repeatable", Group: "all", AimNs: 1e9, DeadlineNs: 2.5e9, KeyTTLNs: 2.5e9, Worth: 1}},
 		}
 		if err := n.writeConfig(filepath.Join(dir, name+".json")); err != nil {
--- a/review/_standin/platform.go
+++ b/review/_standin/platform.go
@@ -52,7 +52,7 @@
 	nodes     int
 	tries     int
 	classes   []class
-	known     list
+	known     *list // nil: the configuration has none
 }
 
 // writeConfig writes a node's configuration, with the names and figures of the deployment pages.
@@ -75,10 +75,14 @@
 		},
 		"over_share_worth": 0.1, "period_ns": 5 * time.Millisecond, "registry_mode": "subscribe", "tenants": []string{}, "weight_source": "none",
 	}
-	text, err := json.MarshalIndent(map[string]any{
+	config := map[string]any{
 		"name": n.name, "listen": n.listen, "discovery": n.discovery, "seed": "8c1f30d27a5be964",
-		"limits": map[string]any{"cores": 1.0, "memory_mb": n.memoryMB, "sockets": 1024}, "known": n.known, "settings": settings,
-	}, "", " ")
+		"limits": map[string]any{"cores": 1.0, "memory_mb": n.memoryMB, "sockets": 1024}, "settings": settings,
+	}
+	if n.known != nil {
+		config["known"] = n.known
+	}
+	text, err := json.MarshalIndent(config, "", " ")
 	if err != nil {
 		return err
 	}
--- a/review/_standin/pressure.go
+++ b/review/_standin/pressure.go
@@ -64,7 +64,7 @@
 		return cannotRun, err
 	}
 	n := node{
-		name: "n1", listen: listen, discovery: discovery, memoryMB: pressureMemory, nodes: 1, tries: 4, known: *servers,
+		name: "n1", listen: listen, discovery: discovery, memoryMB: pressureMemory, nodes: 1, tries: 4, known: servers,
 		classes: []class{
 			{Name: "notruf-abfrage", Semantics: "repeatable", Group: "all", AimNs: 2e9, DeadlineNs: 5e9, KeyTTLNs: 5e9, Worth: 12},
 			{Name: "stoerung", Semantics: "by_key", Group: "cell", AimNs: 2e9, DeadlineNs: 6e9, KeyTTLNs: 10e9, Worth: 1},
--- a/review/_standin/replace.go
+++ b/review/_standin/replace.go
@@ -257,7 +257,7 @@
 	}
 	known, _ := discovery.since(0)
 	n := node{
-		name: "n1", listen: listen, discovery: l.Addr().String(), memoryMB: 192, nodes: 1, tries: 4, known: known,
+		name: "n1", listen: listen, discovery: l.Addr().String(), memoryMB: 192, nodes: 1, tries: 4, known: &known,
 		classes: []class{{Name: "stoerung", Semantics: "by_key", Group: "cell", AimNs: 2e9, DeadlineNs: 6e9, KeyTTLNs: int64(keyWindow), Worth: 1}},
 	}
 	if err := n.writeConfig(filepath.Join(dir, "n1.json")); err != nil {
