--- a/review/_standin/pressure.go
+++ b/review/_standin/pressure.go
@@ -19,10 +19,11 @@
 	pressureMemory  = 64                     // MB; pages: 32 to 192
 	stallingClients = 280                    // pages: clients "by hundreds", bodies of 64 KiB at most, 1,024 descriptors
 	stallingBody    = 64 << 10               // what they announce
-	stallingFor     = 12 * time.Second       // how long they come
+	stallingEvery   = 3 * time.Second        // they come again, all at once, after this ...
+	stallingTimes   = 4                      // ... so many times in all
 	usualClients    = 20                     // each with a connection of its own that it keeps
 	askEvery        = 250 * time.Millisecond // from one request of a usual client to its next
-	clientWait      = 1000                   // ms, X-Remaining-Ms of the usual clients
+	clientWait      = 480                    // ms, X-Remaining-Ms of the usual clients; pages: 480 in PROTOCOL's example
 	answerSlack     = 500 * time.Millisecond // "up to half a second after its time it only earns nothing"
 	pressureWork    = 10 * time.Millisecond
 )
@@ -66,7 +67,7 @@
 	n := node{
 		name: "n1", listen: listen, discovery: discovery, memoryMB: pressureMemory, nodes: 1, tries: 4, known: servers,
 		classes: []class{
-			{Name: "notruf-abfrage", Semantics: "repeatable", Group: "all", AimNs: 2e9, DeadlineNs: 5e9, KeyTTLNs: 5e9, Worth: 12},
+			{Name: "notruf-abfrage", Semantics: "repeatable", Group: "all", AimNs: 400e6, DeadlineNs: 500e6, KeyTTLNs: 500e6, Worth: 12},
 			{Name: "stoerung", Semantics: "by_key", Group: "cell", AimNs: 2e9, DeadlineNs: 6e9, KeyTTLNs: 10e9, Worth: 1},
 		},
 	}
@@ -110,21 +111,18 @@
 		})
 	}
 	time.Sleep(3 * time.Second)
-	if trouble {
-		j.note("clients that stop in the middle of a request begin to come")
-		until := time.Now().Add(stallingFor)
-		var stalling sync.WaitGroup
-		for i := range stallingClients {
-			stalling.Go(func() {
-				for number := 0; time.Now().Before(until); number++ {
-					stall(listen, fmt.Sprintf("bad-%d-%d", i, number))
-				}
-			})
+	for wave := range stallingTimes {
+		next := time.After(stallingEvery)
+		if trouble {
+			j.note("clients that stop in the middle of a request come")
+			var stalling sync.WaitGroup
+			for i := range stallingClients {
+				stalling.Go(func() { stall(listen, fmt.Sprintf("bad-%d-%d", wave, i)) })
+			}
+			stalling.Wait()
+			j.note("they are gone")
 		}
-		stalling.Wait()
-		j.note("they are gone")
-	} else {
-		time.Sleep(stallingFor)
+		<-next
 	}
 	time.Sleep(2 * time.Second)
 	close(stop)
@@ -215,7 +213,6 @@
 func stall(address, id string) {
 	c, err := net.DialTimeout("tcp", address, time.Second)
 	if err != nil {
-		time.Sleep(100 * time.Millisecond)
 		return
 	}
 	defer c.Close()
