Log when reading from a client waits for memory, and what uses the memory

Change: debug lines when reading from a connection begins and ends to wait, with the memory budget by use.

--- a/internal/node/front/request.go
+++ b/internal/node/front/request.go
@@ -80,7 +80,7 @@
 // closeConn closes a connection in any state. The caller has to tell the handler about an open
 // request.
 func (s *Server) closeConn(i int32, c *conn, reason closeReason) {
-	if s.logsCloses {
+	if s.logsDebug {
 		s.config.Log.Debug("client connection closed", "connection", i, "reason", string(reason))
 	}
 	s.releaseActive(c)
@@ -155,12 +155,25 @@
 	}
 	c.state = stateDeferred
 	s.stats.Deferred++
+	s.logMemoryWait("reading waits for memory", i)
 	s.deferredConns[s.idleConns.WorthBand(i, deferredBands)].push(s.table.token(i))
 	if s.config.Hooks.EvictIdle != nil && s.memory.Level() == membudget.Full {
 		s.config.Hooks.EvictIdle()
 	}
 }
 
+// logMemoryWait logs that a connection begins or ends to wait for memory, and what uses the memory.
+func (s *Server) logMemoryWait(message string, i int32) {
+	if !s.logsDebug {
+		return
+	}
+	attributes := []any{"connection", i, "limit", s.memory.Limit()}
+	for _, category := range membudget.Categories() {
+		attributes = append(attributes, category.String(), s.memory.Used(category))
+	}
+	s.config.Log.Debug(message, attributes...)
+}
+
 // canResume reports whether a deferred connection could be resumed now.
 func (s *Server) canResume() bool {
 	if s.memory.Level() != membudget.Normal {
@@ -184,6 +197,7 @@
 			}
 			if i, c := s.table.lookup(s.deferredConns[band].pop()); c != nil && c.state == stateDeferred {
 				c.state = stateReading
+				s.logMemoryWait("reading resumes", i)
 				s.readConn(i, c)
 			}
 			break
--- a/internal/node/front/server.go
+++ b/internal/node/front/server.go
@@ -100,7 +100,7 @@
 	acceptErrorLogged bool // an accept error was logged; later ones are not
 	stalled           bool // the process was stalled just now
 	capacityFreed     bool // a connection was closed or parked in this turn
-	logsCloses        bool // debug logging: log each close
+	logsDebug         bool // debug logging: log closes and waits for memory
 	seed              maphash.Seed
 	stats             Stats
 	now               time.Duration
@@ -142,9 +142,9 @@
 		config: c, wheel: timerwheel.New(timerTick, now), now: now,
 		idleConns: idleconns.New(idleconns.Settings{Policy: c.EvictionPolicy, ClassWorths: c.ClassWorths, NewcomerGrace: NewConnGrace, RememberedClients: c.RememberedClients}, c.IdleRules, now),
 		memory:    membudget.New(c.MemoryBudget), readBuffer: make([]byte, readBufferSize),
-		seed:       maphash.MakeSeed(),
-		logsCloses: c.Log != nil && c.Log.Enabled(context.Background(), slog.LevelDebug),
-		tasks:      make(chan func()), stopped: make(chan struct{}), responseReady: make(chan struct{}, 1),
+		seed:      maphash.MakeSeed(),
+		logsDebug: c.Log != nil && c.Log.Enabled(context.Background(), slog.LevelDebug),
+		tasks:     make(chan func()), stopped: make(chan struct{}), responseReady: make(chan struct{}, 1),
 	}
 }
 
