Play clients that stop in the middle of a request in the lab, red

Change: the lab's fault "stall": clients of a node send half of 64 KiB, wait, and come again when the node ends the connection. TestRequestsAreAnsweredBesideStallingClients plays 280 of them at each of two nodes with 64 MB, beside requests with 500 ms.

--- /dev/null
+++ b/internal/rig/lab/stalling_test.go
@@ -0,0 +1,20 @@
+package lab
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against whole requests that stay unread, and so without an answer, behind hundreds of clients that stop in
+// the middle of a request.
+func TestRequestsAreAnsweredBesideStallingClients(t *testing.T) {
+	r := runFaults(t, func(o *Options) {
+		o.Nodes, o.MemoryMB, o.Traffic.Rate, o.Traffic.Duration = 2, 64, 200, 6*time.Second
+		for i := range o.Plan.Classes {
+			o.Plan.Classes[i].Deadline = 500 * time.Millisecond
+		}
+	}, "stall:node=0,at=1s,for=4s,by=280", "stall:node=1,at=1s,for=4s,by=280")
+	if share := servedShare(r); share < 0.95 {
+		t.Errorf("%.3f of the requests served, want at least 0.95", share)
+	}
+}
--- a/internal/rig/standin/fault.go
+++ b/internal/rig/standin/fault.go
@@ -21,7 +21,7 @@
 	Duration time.Duration
 	// Magnitude depends on the kind. slow: slowdown factor; lag: extra seconds; backup: age in seconds; backlog:
 	// seconds of work; lose, twice, damage: fraction; late: seconds; repeat: longest delay in milliseconds;
-	// unframed: fraction of the answers that are cut off.
+	// unframed: fraction of the answers that are cut off; stall: number of clients.
 	Magnitude float64
 }
 
@@ -33,7 +33,7 @@
 		"unframed": "boxes", "replace": "boxes",
 		"lag": "discovery", "outage": "discovery", "empty": "discovery", "backup": "discovery", "blackhole": "discovery",
 		"backlog": "discovery", "move": "discovery",
-		"kill": "node", "stop": "node", "term": "node",
+		"kill": "node", "stop": "node", "term": "node", "stall": "node",
 		"cut": "links", "lose": "links", "late": "links", "twice": "links", "damage": "links",
 	}
 }
@@ -160,6 +160,9 @@
 	Start(name string) error
 	Pause(name string) error  // suspends the process
 	Resume(name string) error // continues a suspended process
+	// Stall starts clients of a node that stop in the middle of a request, and Unstall ends them.
+	Stall(name string, clients int) error
+	Unstall(name string) error
 	// MoveDiscovery gives discovery another address. Nodes learn of it through a change of their configuration.
 	MoveDiscovery() error
 	// SetLinkFault begins or ends a fault of the links between nodes.
@@ -234,6 +237,8 @@
 		return nodes.Terminate(fault.Node)
 	case "stop":
 		return nodes.Pause(fault.Node)
+	case "stall":
+		return nodes.Stall(fault.Node, int(fault.Magnitude))
 	case "cut", "lose", "late", "twice", "damage":
 		return nodes.SetLinkFault(fault, true)
 	}
@@ -302,6 +307,8 @@
 		return nodes.Start(fault.Node)
 	case "stop":
 		return nodes.Resume(fault.Node)
+	case "stall":
+		return nodes.Unstall(fault.Node)
 	case "cut", "lose", "late", "twice", "damage":
 		return nodes.SetLinkFault(fault, false)
 	}
