Read whole requests at once while unfinished ones hold the clients' memory

Cause: from four fifths of the clients' memory on, the first read of every request waited until the level was under seven tenths, whatever the request needed. Nothing but RequestTimeout of 2 s bounded the wait, as the client's time stands in the unread head; then, or when it was evicted, the connection was closed with its whole request unread. A request that was read after its wait got its whole time again.

No connection was evicted, 300 of 492 places were taken, and requests that were read were answered in 10 to 20 ms: neither eviction, nor descriptors, nor the module.

Fix: while memory is short the front looks at the unread bytes (MSG_PEEK into its one read buffer). A request that has arrived whole needs no buffer of its own and is read at once, until 95% are used. Any other stays in the kernel, and is refused by its head (429) after half of its client's time, 500 ms at most; so is one that would be evicted. What it waited for counts against its time.

--- a/internal/conns/membudget/budget.go
+++ b/internal/conns/membudget/budget.go
@@ -34,10 +34,11 @@
 const (
 	// Normal: all categories may take more memory.
 	Normal Level = iota
-	// Constrained: connections without a buffer get none, so their data waits in the kernel
-	// and TCP flow control slows the peer. Requests that have begun may continue.
+	// Constrained: unfinished requests get no buffer, so their data waits in the kernel and TCP
+	// flow control slows the peer. Requests that have begun may continue, and requests that
+	// have arrived whole are handled.
 	Constrained
-	// Full: idle connections are closed as well.
+	// Full: requests that have arrived whole wait too, and idle connections are closed.
 	Full
 )
 
--- a/internal/node/front/conn_table.go
+++ b/internal/node/front/conn_table.go
@@ -27,7 +27,7 @@
 	readPending        bool // a readable event came and not all bytes were read
 	pipelined          bool // bytes follow the open request, so a peek doesn't show that the client has closed
 	peerEnded          bool // the client has closed its sending side
-	overLimit          bool // accepted above MaxConns: its requests are refused
+	refuse             bool // accepted above MaxConns, or waited for memory for too long: its requests are refused
 	lastWasPOST        bool
 	keepAlive          bool // TCP keepalive is enabled
 	closeAfterResponse bool // close the connection after the response
--- a/internal/node/front/epoll_linux.go
+++ b/internal/node/front/epoll_linux.go
@@ -196,7 +196,7 @@
 
 func (t *epollTransport) Read(s Socket, p []byte) (int, error)  { return readFD(int(s), p) }
 func (t *epollTransport) Write(s Socket, p []byte) (int, error) { return writeFD(int(s), p) }
-func (t *epollTransport) Peek(s Socket) error                   { return peekFD(int(s)) }
+func (t *epollTransport) Peek(s Socket, p []byte) (int, error)  { return peekFD(int(s), p) }
 
 // NotifyWritable modifies the registration, which also reports what the socket is ready for
 // already.
--- a/internal/node/front/goroutine_transport.go
+++ b/internal/node/front/goroutine_transport.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -44,6 +45,7 @@
 	net.Conn
 	raw   syscall.RawConn
 	rearm chan struct{} // the last event was handled: wait for the next
+	seen  atomic.Int32  // unread bytes that Peek has returned, which make no new event
 
 	closed chan struct{}
 }
@@ -171,7 +173,11 @@
 	t.running.Go(func() {
 		// Peek instead of waiting for readiness alone: bytes that arrive between two waits make no
 		// new event.
-		hasInput := func(fd uintptr) bool { return peekFD(int(fd)) != ErrWouldBlock }
+		hasInput := func(fd uintptr) bool {
+			seen := int(c.seen.Load())
+			n, err := peekFD(int(fd), make([]byte, seen+1))
+			return err != ErrWouldBlock && (err != nil || n > seen)
+		}
 		for {
 			if c.raw.Read(hasInput) != nil {
 				return // connection closed
@@ -199,6 +205,7 @@
 
 func (t *goroutineTransport) Read(s Socket, p []byte) (n int, err error) {
 	c := t.conns[s]
+	c.seen.Store(0)
 	if controlErr := c.raw.Control(func(fd uintptr) { n, err = readFD(int(fd), p) }); controlErr != nil {
 		return 0, controlErr
 	}
@@ -215,15 +222,16 @@
 	return n, err
 }
 
-func (t *goroutineTransport) Peek(s Socket) (err error) {
+func (t *goroutineTransport) Peek(s Socket, p []byte) (n int, err error) {
 	c := t.conns[s]
-	if controlErr := c.raw.Control(func(fd uintptr) { err = peekFD(int(fd)) }); controlErr != nil {
-		return controlErr
+	if controlErr := c.raw.Control(func(fd uintptr) { n, err = peekFD(int(fd), p) }); controlErr != nil {
+		return 0, controlErr
 	}
-	if err == ErrWouldBlock {
+	if n < len(p) && err != io.EOF {
+		c.seen.Store(int32(n))
 		c.waitForNext()
 	}
-	return err
+	return n, err
 }
 
 func (t *goroutineTransport) NotifyWritable(s Socket, token uint64) error {
--- a/internal/node/front/load_test.go
+++ b/internal/node/front/load_test.go
@@ -24,12 +24,14 @@
 	queue  chan Token
 }
 
-func (e *echoHandler) HandleRequest(t Token, r *http.Request, _ bool) (any, int, *Response) {
+func (e *echoHandler) HandleRequest(t Token, r *http.Request, _ Arrival) (any, int, *Response) {
 	io.Copy(io.Discard, r.Body)
 	e.queue <- t
 	return e, 0, nil
 }
 
+func (e *echoHandler) TimeLeft(*http.Request) time.Duration { return 0 }
+
 func (e *echoHandler) ClientGone(any) {}
 
 func (e *echoHandler) run(ctx context.Context) {
--- a/internal/node/front/memory_transport_test.go
+++ b/internal/node/front/memory_transport_test.go
@@ -263,18 +263,18 @@
 	return len(p), nil
 }
 
-func (m *memoryTransport) Peek(s Socket) error {
+func (m *memoryTransport) Peek(s Socket, p []byte) (int, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	switch c := &m.conns[s]; {
 	case c.reset:
-		return syscall.ECONNRESET
+		return 0, syscall.ECONNRESET
 	case len(c.unread) > 0:
-		return nil
+		return copy(p, c.unread), nil
 	case c.fin:
-		return io.EOF
+		return 0, io.EOF
 	}
-	return ErrWouldBlock
+	return 0, ErrWouldBlock
 }
 
 func (m *memoryTransport) NotifyWritable(s Socket, _ uint64) error {
--- a/internal/node/front/request.go
+++ b/internal/node/front/request.go
@@ -6,31 +6,33 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 
 	"curlewring/internal/conns/membudget"
 )
 
 const (
-	deferredBands     = 4   // priorities of deferred connections, by the worth of their last request
-	maxReadsPerTurn   = 4   // successive reads of one connection
-	maxResumesPerTurn = 64  // deferred connections resumed in one turn
-	minPooled         = 16  // activeStates kept for reuse
-	maxPooled         = 256 // more than these are left to the garbage collector
-	openRequestBytes  = 4 << 10
-	maxPooledBuffer   = 4 << 10 // a larger buffer is not pooled
+	maxReadsPerTurn    = 4   // successive reads of one connection
+	maxRunnablePerTurn = 64  // connections with unprocessed bytes continued in one turn
+	minPooled          = 16  // activeStates kept for reuse
+	maxPooled          = 256 // more than these are left to the garbage collector
+	openRequestBytes   = 4 << 10
+	maxPooledBuffer    = 4 << 10 // a larger buffer is not pooled
+	maxSkippedBytes    = 4       // of empty lines after a POST
 )
 
 // activeState is what a connection needs in addition to its row while it is not parked.
 type activeState struct {
-	buf       []byte // received bytes that are not consumed yet
-	scanFrom  int    // where the search for the end of the head continues
-	request   *http.Request
-	body      []byte // body of request, as far as received
-	handle    any    // the handler's identifier of the open request
-	headOnly  bool   // HEAD request: the response has no body
-	unsent    []byte // part of the response that is not sent yet
-	discarded int    // bytes discarded while lingering
-	accounted [2]int // bytes accounted in the memory budget: for reading, and for the open request
+	buf        []byte // received bytes that are not consumed yet
+	scanFrom   int    // where the search for the end of the head continues
+	request    *http.Request
+	body       []byte        // body of request, as far as received
+	deferredAt time.Duration // when the request began to wait for memory; 0: it did not wait
+	handle     any           // the handler's identifier of the open request
+	headOnly   bool          // HEAD request: the response has no body
+	unsent     []byte        // part of the response that is not sent yet
+	discarded  int           // bytes discarded while lingering
+	accounted  [2]int        // bytes accounted in the memory budget: for reading, and for the open request
 }
 
 func (a *activeState) bytes() int { return 160 + cap(a.buf) }
@@ -86,6 +88,7 @@
 	s.releaseActive(c)
 	s.wheel.Cancel(i)
 	s.idleConns.Remove(i)
+	delete(s.deferrals, i)
 	s.config.Transport.Close(c.socket)
 	s.memory.Add(membudget.ConnectionState, -parkedConnBytes)
 	s.table.release(i)
@@ -106,17 +109,21 @@
 	switch c.state {
 	case stateParked:
 		if s.memory.Level() != membudget.Normal {
-			s.deferRead(i, c)
+			s.readWhileMemoryIsShort(i, c)
 			return
 		}
 		s.beginRequest(i, c)
 		s.readConn(i, c)
 	case stateReading:
 		if c.active == nil && s.memory.Level() != membudget.Normal {
-			s.deferRead(i, c)
+			s.readWhileMemoryIsShort(i, c)
 			return
 		}
 		s.readConn(i, c)
+	case stateDeferred:
+		if s.memory.Level() != membudget.Normal { // otherwise it is resumed in this turn
+			s.readWhileMemoryIsShort(i, c)
+		}
 	case stateOpen:
 		if c.peerEnded {
 			s.clientGone(i, c)
@@ -127,20 +134,26 @@
 			return
 		}
 		// Not every transport reports that the client has closed, so peek. Unread bytes hide it.
-		switch err := s.config.Transport.Peek(c.socket); {
+		switch err := s.peekByte(c); {
 		case err == nil:
 			c.pipelined, c.readPending = true, true
 		case errors.Is(err, ErrWouldBlock):
 		default:
 			s.clientGone(i, c)
 		}
-	case stateWriting, stateDeferred:
+	case stateWriting:
 		c.readPending = true
 	case stateLingering:
 		s.discardInput(i, c)
 	}
 }
 
+// peekByte looks for unread bytes of a connection: nil if there are any.
+func (s *Server) peekByte(c *conn) error {
+	_, err := s.config.Transport.Peek(c.socket, s.peekBuffer[:])
+	return err
+}
+
 // beginRequest ends a connection's idle time, as bytes of its next request have arrived.
 func (s *Server) beginRequest(i int32, c *conn) {
 	c.state = stateReading
@@ -148,67 +161,10 @@
 	s.wheel.Arm(i, s.now+RequestTimeout)
 }
 
-// deferRead leaves a connection's bytes in the kernel until there is memory for them.
-func (s *Server) deferRead(i int32, c *conn) {
-	if c.state == stateParked {
-		s.beginRequest(i, c)
-	}
-	c.state = stateDeferred
-	s.stats.Deferred++
-	s.logMemoryWait("reading waits for memory", i)
-	s.deferredConns[s.idleConns.WorthBand(i, deferredBands)].push(s.table.token(i))
-	if s.config.Hooks.EvictIdle != nil && s.memory.Level() == membudget.Full {
-		s.config.Hooks.EvictIdle()
-	}
-}
-
-// logMemoryWait logs that a connection begins or ends to wait for memory, and what uses the memory.
-func (s *Server) logMemoryWait(message string, i int32) {
-	if !s.logsDebug {
-		return
-	}
-	attributes := []any{"connection", i, "limit", s.memory.Limit()}
-	for _, category := range membudget.Categories() {
-		attributes = append(attributes, category.String(), s.memory.Used(category))
-	}
-	s.config.Log.Debug(message, attributes...)
-}
-
-// canResume reports whether a deferred connection could be resumed now.
-func (s *Server) canResume() bool {
-	if s.memory.Level() != membudget.Normal {
-		return false
-	}
-	for band := range s.deferredConns {
-		if s.deferredConns[band].len() > 0 {
-			return true
-		}
-	}
-	return false
-}
-
-// resumeDeferred resumes deferred connections, beginning with those whose last request had the
-// highest worth.
-func (s *Server) resumeDeferred() {
-	for n := 0; n < maxResumesPerTurn && s.canResume(); n++ {
-		for band := deferredBands - 1; band >= 0; band-- {
-			if s.deferredConns[band].len() == 0 {
-				continue
-			}
-			if i, c := s.table.lookup(s.deferredConns[band].pop()); c != nil && c.state == stateDeferred {
-				c.state = stateReading
-				s.logMemoryWait("reading resumes", i)
-				s.readConn(i, c)
-			}
-			break
-		}
-	}
-}
-
 // processRunnable continues with the connections that have bytes of a next request: one request, or
 // a few reads, for each.
 func (s *Server) processRunnable() {
-	for n := min(s.runnable.len(), maxResumesPerTurn); n > 0; n-- {
+	for n := min(s.runnable.len(), maxRunnablePerTurn); n > 0; n-- {
 		i, c := s.table.lookup(s.runnable.pop())
 		if c == nil || c.state != stateReading {
 			continue
@@ -282,13 +238,8 @@
 		active.buf = append(active.buf, data...)
 		data, scanFrom = active.buf, active.scanFrom
 	}
-	if c.lastWasPOST { // RFC 9112, 2.2: an old client may send an empty line after a POST
-		n := 0
-		for n < min(len(data), 4) && (data[n] == '\r' || data[n] == '\n') {
-			n++
-		}
-		data, scanFrom = data[n:], max(0, scanFrom-n)
-	}
+	skipped := skippedBytes(c, data)
+	data, scanFrom = data[skipped:], max(0, scanFrom-skipped)
 	end, next := headEnd(data, scanFrom)
 	if end == 0 {
 		if len(data) > s.config.MaxHeadSize+headSizeSlack {
@@ -318,10 +269,27 @@
 	s.handleHead(i, c, r, data[end:])
 }
 
+// skippedBytes returns how many bytes to skip before the next head: an old client may send an empty line after a POST
+// (RFC 9112, 2.2).
+func skippedBytes(c *conn, data []byte) (n int) {
+	if !c.lastWasPOST {
+		return 0
+	}
+	for n < min(len(data), maxSkippedBytes) && (data[n] == '\r' || data[n] == '\n') {
+		n++
+	}
+	return n
+}
+
 // handleHead handles a request whose head is complete. rest is what follows the head.
 func (s *Server) handleHead(i int32, c *conn, r *http.Request, rest []byte) {
 	length := r.ContentLength
-	if len(r.TransferEncoding) > 0 || length < 0 || length > s.config.MaxBodySize {
+	rejected := s.isRejectedByHead(r)
+	if !rejected && int64(len(rest)) >= length {
+		s.dispatch(i, c, r, rest[:length], rest[length:])
+		return
+	}
+	if rejected || c.refuse {
 		// Such a body is not read. The handler refuses the request by its head, and what follows on
 		// the connection can't be parsed.
 		r.Body = io.NopCloser(strings.NewReader(""))
@@ -329,10 +297,6 @@
 		s.dispatch(i, c, r, nil, rest)
 		return
 	}
-	if int64(len(rest)) >= length {
-		s.dispatch(i, c, r, rest[:length], rest[length:])
-		return
-	}
 	switch expect := r.Header.Get("Expect"); {
 	case strings.EqualFold(expect, "100-continue"):
 		if _, err := s.config.Transport.Write(c.socket, []byte("HTTP/1.1 100 Continue\r\n\r\n")); err != nil {
@@ -359,7 +323,7 @@
 	if s.stalled && len(rest) == 0 {
 		// The request came while the process was stalled: do no work for a client that has left
 		// since.
-		if err := s.config.Transport.Peek(c.socket); err != nil && !errors.Is(err, ErrWouldBlock) {
+		if err := s.peekByte(c); err != nil && !errors.Is(err, ErrWouldBlock) {
 			s.clientGone(i, c)
 			return
 		}
@@ -373,10 +337,14 @@
 		r.Body = io.NopCloser(bytes.NewReader(body))
 	}
 	active.headOnly = r.Method == http.MethodHead
-	c.closeAfterResponse = r.Close || !r.ProtoAtLeast(1, 1) || c.overLimit
+	c.closeAfterResponse = r.Close || !r.ProtoAtLeast(1, 1) || c.refuse
 	s.wheel.Cancel(i)
 	c.state = stateOpen
-	handle, class, response := s.config.Handler.HandleRequest(Token(s.table.token(i)), r, c.overLimit)
+	how := Arrival{Refuse: c.refuse}
+	if active.deferredAt > 0 {
+		how.Waited, active.deferredAt = s.now-active.deferredAt, 0
+	}
+	handle, class, response := s.config.Handler.HandleRequest(Token(s.table.token(i)), r, how)
 	if class >= 0 {
 		s.idleConns.RequestReceived(i, class)
 	} else {
--- a/internal/node/front/response.go
+++ b/internal/node/front/response.go
@@ -133,7 +133,7 @@
 func (s *Server) responseSent(i int32, c *conn) {
 	active := c.active
 	if c.closeAfterResponse {
-		if c.overLimit && !c.readPending && len(active.buf) == 0 { // its descriptor is needed at once
+		if c.refuse && !c.readPending && len(active.buf) == 0 { // its descriptor is needed at once
 			s.closeConn(i, c, closeEvicted)
 			return
 		}
--- a/internal/node/front/server.go
+++ b/internal/node/front/server.go
@@ -30,7 +30,7 @@
 	maxTimersPerTurn       = 256
 	maxAcceptsPerTurn      = 64
 	eventsPerResponseCheck = 16 // events handled between two checks for responses
-	readBufferSize         = 8 << 10
+	minReadBufferSize      = 8 << 10
 	maxLingerDiscard       = 64 << 10 // bytes discarded after the final response
 )
 
@@ -39,13 +39,23 @@
 type Handler interface {
 	// HandleRequest handles a request whose body is complete. It returns either the response, or a
 	// handle that ClientGone identifies the request by until Server.Respond is called. class is the
-	// request's class in the idle rules, or -1 if the request has none. If overLimit is set, the
-	// connection was accepted above Config.MaxConns only to be refused.
-	HandleRequest(t Token, r *http.Request, overLimit bool) (handle any, class int, response *Response)
+	// request's class in the idle rules, or -1 if the request has none.
+	HandleRequest(t Token, r *http.Request, a Arrival) (handle any, class int, response *Response)
+	// TimeLeft returns how long the client of a request waits for its answer, by the request's head.
+	// It returns 0 if the head does not tell.
+	TimeLeft(r *http.Request) time.Duration
 	// ClientGone reports that the client of an open request has disconnected.
 	ClientGone(handle any)
 }
 
+// Arrival tells a Handler how a request arrived.
+type Arrival struct {
+	// Refuse is set if the request has to be refused because the server is short of connections or
+	// memory. Its body may not have been read.
+	Refuse bool
+	Waited time.Duration // how long the request waited for memory before it was read
+}
+
 // Config configures a Server.
 type Config struct {
 	Transport         Transport
@@ -88,9 +98,12 @@
 	writeBuffer       []byte
 	parser            headParser
 	dueTimers         []int32
-	expired           tokenQueue                // tokens of parked connections whose idle time is over
-	runnable          tokenQueue                // connections with unprocessed bytes, served in turn
-	deferredConns     [deferredBands]tokenQueue // deferred connections by the worth of their last request
+	peekBuffer        [1]byte
+	expired           tokenQueue         // tokens of parked connections whose idle time is over
+	runnable          tokenQueue         // connections with unprocessed bytes, served in turn
+	deferrals         map[int32]deferral // state of the deferred connections
+	deferredWhole     bandQueue          // deferred connections whose request has arrived whole
+	deferredPartial   bandQueue          // deferred connections in the order of their deferral
 	pool              []*activeState
 	acceptRetryAt     time.Duration
 	date              dateCache
@@ -124,6 +137,7 @@
 	Accepted, Requests, Responses                        uint64
 	Expired, Evicted, Refused                            uint64
 	Deferred, RequestTimeouts, WriteTimeouts, PeerClosed uint64
+	MemoryTimeouts                                       uint64        // waits for memory that ended without memory
 	AvertedCloses                                        uint64        // closes that were averted because bytes had arrived
 	MaxTimersDue                                         int           // timers due at the same time
 	MaxTurnTime                                          time.Duration // longest turn of the server's goroutine
@@ -141,10 +155,11 @@
 	return &Server{
 		config: c, wheel: timerwheel.New(timerTick, now), now: now,
 		idleConns: idleconns.New(idleconns.Settings{Policy: c.EvictionPolicy, ClassWorths: c.ClassWorths, NewcomerGrace: NewConnGrace, RememberedClients: c.RememberedClients}, c.IdleRules, now),
-		memory:    membudget.New(c.MemoryBudget), readBuffer: make([]byte, readBufferSize),
-		seed:      maphash.MakeSeed(),
-		logsDebug: c.Log != nil && c.Log.Enabled(context.Background(), slog.LevelDebug),
-		tasks:     make(chan func()), stopped: make(chan struct{}), responseReady: make(chan struct{}, 1),
+		memory:    membudget.New(c.MemoryBudget), deferrals: map[int32]deferral{},
+		readBuffer: make([]byte, max(minReadBufferSize, c.MaxHeadSize+headSizeSlack+maxSkippedBytes+1)), // a head fits in
+		seed:       maphash.MakeSeed(),
+		logsDebug:  c.Log != nil && c.Log.Enabled(context.Background(), slog.LevelDebug),
+		tasks:      make(chan func()), stopped: make(chan struct{}), responseReady: make(chan struct{}, 1),
 	}
 }
 
@@ -393,7 +408,7 @@
 func (s *Server) addConn(socket Socket, remote netip.Addr) {
 	overLimit := s.table.inUse >= s.config.MaxConns
 	i, c := s.table.allocate()
-	c.socket, c.state, c.overLimit = socket, stateReading, overLimit
+	c.socket, c.state, c.refuse = socket, stateReading, overLimit
 	c.rulesVersion = s.rulesVersion
 	s.memory.Add(membudget.ConnectionState, parkedConnBytes)
 	s.idleConns.Add(s.now, i, s.config.IdleRules.Source(remote), s.clientHash(remote))
@@ -444,6 +459,12 @@
 			return status
 		}
 		c := s.table.at(i)
+		if c.state == stateDeferred {
+			if s.refuseDeferred(i, c) {
+				return idleconns.Found
+			}
+			continue
+		}
 		if tries < 4 && s.readArrived(i, c) {
 			continue
 		}
@@ -456,7 +477,7 @@
 // readArrived reports whether bytes have arrived on a connection that is parked or has never been
 // read, and reads them.
 func (s *Server) readArrived(i int32, c *conn) bool {
-	if c.state != stateParked && (c.state != stateReading || c.active != nil) || s.config.Transport.Peek(c.socket) != nil {
+	if c.state != stateParked && (c.state != stateReading || c.active != nil) || s.peekByte(c) != nil {
 		return false
 	}
 	s.stats.AvertedCloses++
@@ -473,9 +494,12 @@
 		switch c.state {
 		case stateParked:
 			s.expired.push(s.table.token(i))
-		case stateReading, stateDeferred:
+		case stateReading:
 			s.stats.RequestTimeouts++
 			s.requestTimedOut(i, c)
+		case stateDeferred:
+			s.stats.MemoryTimeouts++
+			s.refuseDeferred(i, c)
 		case stateWriting:
 			s.stats.WriteTimeouts++
 			s.closeConn(i, c, closeWriteTimeout)
--- a/internal/node/front/simulation_test.go
+++ b/internal/node/front/simulation_test.go
@@ -28,6 +28,10 @@
 	open    []*openRequest // requests that the handler has, oldest first
 	answers int
 	gone    int
+
+	timeLeft time.Duration   // of every client
+	waits    []time.Duration // how long each request waited for memory, in the order of their arrival
+	refused  int
 }
 
 type scriptedClient struct {
@@ -48,7 +52,7 @@
 }
 
 func newHarness(t testing.TB, maxConns, memoryBytes int) *harness {
-	h := &harness{t: t, net: newMemory(), now: time.Hour}
+	h := &harness{t: t, net: newMemory(), now: time.Hour, timeLeft: time.Second}
 	h.net.accepting = true
 	h.server = New(Config{
 		Transport: h.net, Handler: h, Log: slog.New(slog.DiscardHandler), Now: func() time.Duration { return h.now },
@@ -59,7 +63,7 @@
 }
 
 // HandleRequest implements Handler. It answers some requests at once.
-func (h *harness) HandleRequest(t Token, r *http.Request, overLimit bool) (any, int, *Response) {
+func (h *harness) HandleRequest(t Token, r *http.Request, a Arrival) (any, int, *Response) {
 	i, c := h.server.table.lookup(uint64(t))
 	if c == nil || c.state != stateOpen {
 		h.t.Fatalf("got a request of connection %d in state %v", i, c)
@@ -75,11 +79,14 @@
 	if r.URL.Path == "/now" {
 		return nil, -1, &Response{Status: http.StatusOK, Text: "now"}
 	}
-	if client.delivered >= len(client.bodies) || client.bodies[client.delivered] != string(body) {
+	bodyUnread := a.Refuse && len(body) == 0
+	if client.delivered >= len(client.bodies) || client.bodies[client.delivered] != string(body) && !bodyUnread {
 		h.t.Fatalf("client %d: request %d has the body %q, the client sent %q", client.id, client.delivered, body, client.bodies)
 	}
 	client.delivered++
-	if overLimit {
+	h.waits = append(h.waits, a.Waited)
+	if a.Refuse {
+		h.refused++
 		return nil, 0, &Response{Status: http.StatusTooManyRequests, Text: "crowded", Close: true}
 	}
 	for _, o := range h.open {
@@ -92,6 +99,8 @@
 	return o, len(body) % 2, nil
 }
 
+func (h *harness) TimeLeft(*http.Request) time.Duration { return h.timeLeft }
+
 func (h *harness) ClientGone(handle any) {
 	for i, o := range h.open {
 		if o == handle {
@@ -219,7 +228,7 @@
 		h.checkResponses(c)
 	}
 	s := h.server
-	if s.table.inUse != 0 || s.wheel.Len() != 0 || s.idleConns.Idle() != 0 || s.idleConns.Incomplete() != 0 {
+	if s.table.inUse != 0 || len(s.deferrals) != 0 || s.wheel.Len() != 0 || s.idleConns.Idle() != 0 || s.idleConns.Incomplete() != 0 {
 		h.t.Fatalf("left over: %d connections, %d timers, %d idle, %d incomplete", s.table.inUse, s.wheel.Len(), s.idleConns.Idle(), s.idleConns.Incomplete())
 	}
 	if h.net.closes != len(h.clients) {
--- a/internal/node/front/syscalls.go
+++ b/internal/node/front/syscalls.go
@@ -41,20 +41,19 @@
 	}
 }
 
-func peekFD(fd int) error {
-	var one [1]byte
+func peekFD(fd int, p []byte) (int, error) {
 	for {
-		n, _, err := unix.Recvfrom(fd, one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		n, _, err := unix.Recvfrom(fd, p, unix.MSG_PEEK|unix.MSG_DONTWAIT)
 		switch {
 		case err == unix.EINTR:
 		case err == unix.EAGAIN:
-			return ErrWouldBlock
+			return 0, ErrWouldBlock
 		case err != nil:
-			return fmt.Errorf("peeking at client socket: %w", err)
+			return 0, fmt.Errorf("peeking at client socket: %w", err)
 		case n == 0:
-			return io.EOF
+			return 0, io.EOF
 		default:
-			return nil
+			return n, nil
 		}
 	}
 }
--- a/internal/node/front/transport.go
+++ b/internal/node/front/transport.go
@@ -55,8 +55,9 @@
 	// returns io.EOF once the peer has closed its sending side.
 	Read(s Socket, p []byte) (int, error)
 	Write(s Socket, p []byte) (int, error)
-	// Peek reads one byte without consuming it.
-	Peek(s Socket) error
+	// Peek is Read without consuming the bytes. If it does not fill p, Events reports it when more
+	// bytes have arrived.
+	Peek(s Socket, p []byte) (int, error)
 	// NotifyWritable requests a Writable event for when the socket accepts more bytes.
 	NotifyWritable(s Socket, token uint64) error
 	CloseWrite(s Socket)
--- a/internal/node/front/transport_test.go
+++ b/internal/node/front/transport_test.go
@@ -31,9 +31,9 @@
 	holdRequests     bool // requests stay open until answer is called
 }
 
-func (s *socketFixture) HandleRequest(t Token, r *http.Request, overLimit bool) (any, int, *Response) {
+func (s *socketFixture) HandleRequest(t Token, r *http.Request, a Arrival) (any, int, *Response) {
 	body, _ := io.ReadAll(r.Body)
-	if overLimit {
+	if a.Refuse {
 		return nil, 0, &Response{Status: http.StatusTooManyRequests, Text: "crowded", Close: true}
 	}
 	if !s.holdRequests {
@@ -45,6 +45,8 @@
 	return t, 0, nil
 }
 
+func (s *socketFixture) TimeLeft(*http.Request) time.Duration { return time.Second }
+
 func (s *socketFixture) ClientGone(handle any) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/node/request_handler.go
+++ b/internal/node/request_handler.go
@@ -59,7 +59,7 @@
 var singleValueHeaders = [...]string{"X-Txn", "X-Lane", "X-Org", "X-Remaining-Ms", "X-Resent", "X-Estimate", "Idempotency-Key"}
 
 // HandleRequest handles one request. It implements front.Handler.
-func (h *requestHandler) HandleRequest(t front.Token, r *http.Request, overLimit bool) (handle any, class int, _ *front.Response) {
+func (h *requestHandler) HandleRequest(t front.Token, r *http.Request, a front.Arrival) (handle any, class int, _ *front.Response) {
 	now := h.clock.Now()
 	if r.URL.Path == "/ready" {
 		if h.loop.ready.Load() && !h.shuttingDown.Load() {
@@ -67,7 +67,7 @@
 		}
 		return nil, -1, &front.Response{Status: http.StatusServiceUnavailable, Text: "not ready"}
 	}
-	p, status, problem := h.parse(nil, r, now)
+	p, status, problem := h.parse(r, a, now)
 	spent := ""
 	if p != nil && h.budgets != nil {
 		rb, loop := h.budgets.read(r, p.request.Class, p.deadline-now)
@@ -84,15 +84,15 @@
 	if p == nil {
 		// The connection is closed: after such an error, what follows on it may be no request
 		// but, for instance, the rest of this one's body.
-		a := &front.Response{Status: status, Text: problem, Close: true}
+		rejection := &front.Response{Status: status, Text: problem, Close: true}
 		if spent != "" {
-			a.HeaderName, a.HeaderValue = budget.SpentHeaderName, spent
+			rejection.HeaderName, rejection.HeaderValue = budget.SpentHeaderName, spent
 		}
-		return nil, -1, a
+		return nil, -1, rejection
 	}
-	if overLimit {
+	if a.Refuse {
 		h.releaseTxn(p.upstreamRequest.Txn)
-		return nil, p.request.Class, &front.Response{Status: http.StatusTooManyRequests, Text: "too many connections", Close: true}
+		return nil, p.request.Class, &front.Response{Status: http.StatusTooManyRequests, Text: "too many connections or too little memory", Close: true}
 	}
 	p.token, p.arrivedAt = t, now
 	h.loop.post(requestArrived{p})
@@ -147,9 +147,54 @@
 	h.front.Respond(p.token, to)
 }
 
-// parse reads a request. For an invalid one it returns the status and text of the answer.
-// None of these statuses is a refusal, as a retry of such a request is of no use.
-func (h *requestHandler) parse(_ http.ResponseWriter, r *http.Request, now time.Duration) (*pendingRequest, int, string) {
+// TimeLeft returns how long the client of a request waits for its answer. It implements
+// front.Handler.
+func (h *requestHandler) TimeLeft(r *http.Request) time.Duration {
+	wait, ok := parseWait(r)
+	if class, known := h.classes[classNameOf(r)]; ok && known {
+		return h.limitWait(wait, class)
+	}
+	return 0
+}
+
+// classNameOf returns the name of a request's class, the first part of its path.
+func classNameOf(r *http.Request) string {
+	first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	return first
+}
+
+// parseWait parses how long the client of a request waits.
+func parseWait(r *http.Request) (wait time.Duration, ok bool) {
+	ms, err := strconv.ParseUint(r.Header.Get("X-Remaining-Ms"), 10, 32)
+	wait = time.Duration(ms) * time.Millisecond
+	return wait, err == nil && wait <= maxRemaining
+}
+
+// limitWait limits a client's wait to the deadline of its request's class: no client waits longer.
+func (h *requestHandler) limitWait(wait time.Duration, class int) time.Duration {
+	if longest := h.maxWaits[class]; longest > 0 {
+		return min(wait, longest)
+	}
+	return wait
+}
+
+// parse reads a request, without its body if it is refused. For an invalid one it returns the status
+// and text of the answer. None of these statuses is a refusal, as a retry of such a request is of no use.
+func (h *requestHandler) parse(r *http.Request, a front.Arrival, now time.Duration) (*pendingRequest, int, string) {
+	// The client's time has run while its request waited for memory.
+	p, status, problem := h.parseHead(r, now-a.Waited)
+	if p == nil || a.Refuse || r.Body == http.NoBody {
+		return p, status, problem
+	}
+	p.upstreamRequest.Body = make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, p.upstreamRequest.Body); err != nil {
+		return nil, http.StatusRequestTimeout, "the body did not come"
+	}
+	return p, 0, ""
+}
+
+// parseHead reads a request but for its body. since is the time from which its client waits.
+func (h *requestHandler) parseHead(r *http.Request, since time.Duration) (*pendingRequest, int, string) {
 	// For a request with both Transfer-Encoding and Content-Length, net/http drops one, and a
 	// server or proxy that uses the other finds a second request inside the body (request
 	// smuggling). Chunked bodies are rejected altogether: no client needs them.
@@ -164,7 +209,7 @@
 			return nil, http.StatusBadRequest, name + " stands there twice"
 		}
 	}
-	first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	first := classNameOf(r)
 	class, ok := h.classes[first]
 	if !ok {
 		return nil, http.StatusNotFound, "no such class of requests"
@@ -184,18 +229,14 @@
 	if txn == "" {
 		return nil, http.StatusBadRequest, "no X-Txn"
 	}
-	ms, err := strconv.ParseUint(r.Header.Get("X-Remaining-Ms"), 10, 32)
-	wait := time.Duration(ms) * time.Millisecond
-	if err != nil || wait > maxRemaining {
+	wait, ok := parseWait(r)
+	if !ok {
 		return nil, http.StatusBadRequest, "X-Remaining-Ms is missing or odd"
 	}
-	if longest := h.maxWaits[class]; longest > 0 { // no client waits longer than its class's deadline
-		wait = min(wait, longest)
-	}
 	p := &pendingRequest{
 		path:     r.URL.Path,
 		txn:      txn,
-		deadline: now + wait,
+		deadline: since + h.limitWait(wait, class),
 		request:  decide.Request{Class: class, Tenant: -1, IsRetry: r.Header.Get("X-Resent") == "1"},
 	}
 	if tenant, ok := h.tenants[r.Header.Get("X-Org")]; ok {
@@ -225,11 +266,5 @@
 	if r.ContentLength > upstream.MaxBodySize {
 		return nil, http.StatusRequestEntityTooLarge, "the body is too large"
 	}
-	p.upstreamRequest.Body = make([]byte, r.ContentLength)
-	if _, err := io.ReadFull(r.Body, p.upstreamRequest.Body); err != nil {
-		return nil, http.StatusRequestTimeout, "the body did not come"
-	}
-	// The client's time counts from the last byte of its request.
-	p.deadline += h.clock.Now() - now
 	return p, 0, ""
 }
--- a/internal/node/request_handler_test.go
+++ b/internal/node/request_handler_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"curlewring/internal/node/clock"
+	"curlewring/internal/node/front"
 	"curlewring/internal/node/upstream"
 )
 
@@ -41,7 +42,7 @@
 			return
 		}
 		now := clock.Now()
-		p, status, problem := h.parse(httptest.NewRecorder(), r, now)
+		p, status, problem := h.parse(r, front.Arrival{}, now)
 		if p == nil {
 			if status < 400 || status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable || problem == "" {
 				t.Fatalf("rejected with %d %q", status, problem)
@@ -77,3 +78,36 @@
 		}
 	})
 }
+
+// Guards against a request that waited for memory and is then given its whole time again: its answer would come after its
+// client's time.
+func TestWaitForMemoryCountsAgainstDeadline(t *testing.T) {
+	const left, waited = 480 * time.Millisecond, 200 * time.Millisecond
+	clock := clock.New()
+	h := newRequestHandler(testConfig(t, "127.0.0.1:1", "null", 1024), clock, nil)
+	r := httptest.NewRequest(http.MethodGet, "/look/1", nil)
+	r.Header.Set("X-Txn", "1")
+	r.Header.Set("X-Remaining-Ms", "480")
+	if got := h.TimeLeft(r); got != left {
+		t.Errorf("%v left, want %v", got, left)
+	}
+	now := clock.Now()
+	p, status, problem := h.parse(r, front.Arrival{Waited: waited}, now)
+	if p == nil || p.deadline != now+left-waited {
+		t.Errorf("%d %q; want a deadline %v after the request was read", status, problem, left-waited)
+	}
+}
+
+// A request that is refused for want of memory is refused without its body, so that its client may try again.
+func TestRequestIsRefusedWithoutItsBody(t *testing.T) {
+	h := newRequestHandler(testConfig(t, "127.0.0.1:1", "null", 1024), clock.New(), nil)
+	r := httptest.NewRequest(http.MethodPost, "/act/1", strings.NewReader(""))
+	r.ContentLength = 100
+	r.Header.Set("X-Txn", "1")
+	r.Header.Set("X-Remaining-Ms", "480")
+	for range 2 { // the refusal leaves nothing open
+		if _, _, response := h.HandleRequest(0, r, front.Arrival{Refuse: true}); response == nil || response.Status != http.StatusTooManyRequests || !response.Close {
+			t.Errorf("got %+v", response)
+		}
+	}
+}
