Read the rest of a request that has arrived instead of evicting its connection

Callers would see: a connection closed without an answer although the whole request had been sent (by reading; not seen in a run).

Cause: before an eviction the front looked for unread bytes only on connections that were idle or had sent nothing yet. One with a part of a request was closed without a look, also where the rest had arrived and its event had not been handled.

Fix: the rest is read first, as first bytes are.

Measured: TestRestArrivingBeforeEvictionIsRead fails without the change (closed, 0 requests open) and passes with it.

--- a/internal/node/front/pressure_test.go
+++ b/internal/node/front/pressure_test.go
@@ -191,3 +191,17 @@
 		}
 	})
 }
+
+// Guards against closing a connection for another one although the rest of its request has arrived.
+func TestRestArrivingBeforeEvictionIsRead(t *testing.T) {
+	h := newHarness(t, 10, 1<<20)
+	c := h.addClient(post("one")[:20], "one")
+	h.net.mu.Lock() // the bytes have arrived, but their event has not
+	h.net.conns[c.id].unread = []byte(post("one")[20:])
+	h.net.mu.Unlock()
+	h.now += NewConnGrace
+	h.server.runTurn(func() { h.server.evictOne() })
+	if h.closed(c) || len(h.open) != 1 {
+		t.Errorf("closed: %v, %d requests open", h.closed(c), len(h.open))
+	}
+}
--- a/internal/node/front/server.go
+++ b/internal/node/front/server.go
@@ -469,7 +469,7 @@
 			}
 			continue
 		}
-		if tries < maxAvertedCloses && s.readArrived(i, c) {
+		if tries < maxAvertedCloses && (s.readArrived(i, c) || s.readRest(i, c)) {
 			continue
 		}
 		s.stats.Evicted++
@@ -489,6 +489,16 @@
 	return true
 }
 
+// readRest reports whether more bytes of an unfinished request have arrived, and reads them.
+func (s *Server) readRest(i int32, c *conn) bool {
+	if c.state != stateReading || c.active == nil || s.peekByte(c) != nil {
+		return false
+	}
+	s.stats.AvertedCloses++
+	s.readConn(i, c)
+	return true
+}
+
 // handleTimers handles due timers, up to maxTimersPerTurn.
 func (s *Server) handleTimers() {
 	s.dueTimers = s.wheel.Advance(s.now, maxTimersPerTurn, s.dueTimers[:0])
