Let stalled requests give way while others wait for the clients' memory

Callers saw: large requests were refused while clients that had stopped in the middle of a request held the memory.

A part of a request keeps its memory until RequestTimeout, 2 s after its first byte, whether or not more of it comes. A request that does not fit into one read needs memory of its own and waited behind it, since until it was refused.

Fix: while requests wait for memory, one of which nothing has come for 250 ms is timed out (408), in the order in which they began. Those of which bytes still come keep their time.

--- a/internal/node/front/pressure.go
+++ b/internal/node/front/pressure.go
@@ -18,6 +18,9 @@
 	// memoryWaitTimeout is the longest time that a request waits for memory, and that the rest of it may take
 	// after the wait.
 	memoryWaitTimeout = RequestTimeout / 4
+	// While others wait for memory, a request of which no bytes have come for stalledAfter gives way.
+	stalledAfter    = NewConnGrace
+	reclaimInterval = stalledAfter / 8 // between two searches for such requests
 )
 
 // deferral is the state of a deferred connection.
@@ -190,6 +193,47 @@
 	return c == nil
 }
 
+// trackUnfinished notes that a connection holds memory for a part of a request.
+func (s *Server) trackUnfinished(i int32) {
+	for s.unfinished.len() > 0 && !s.holdsUnfinished(s.unfinished.first()) {
+		s.unfinished.pop()
+	}
+	s.unfinished.push(s.table.token(i))
+}
+
+// holdsUnfinished reports whether a token's connection still holds memory for a part of a request.
+func (s *Server) holdsUnfinished(token uint64) bool {
+	_, c := s.table.lookup(token)
+	return c != nil && c.state == stateReading && c.active != nil && c.active.accounted[0] > 0
+}
+
+// needsReclaim reports whether requests wait for memory that stalled ones may hold.
+func (s *Server) needsReclaim() bool {
+	return len(s.deferrals) > 0 && s.unfinished.len() > 0 && s.memory.Level() != membudget.Normal
+}
+
+// reclaimStalled times out stalled requests, in the order in which they began, until there is memory for those that
+// wait.
+func (s *Server) reclaimStalled() {
+	if !s.needsReclaim() || s.now < s.reclaimAt {
+		return
+	}
+	s.reclaimAt = s.now + reclaimInterval
+	for n := s.unfinished.len(); n > 0 && s.memory.Level() != membudget.Normal; n-- {
+		token := s.unfinished.pop()
+		if !s.holdsUnfinished(token) {
+			continue
+		}
+		i, c := s.table.lookup(token)
+		if s.now < c.active.lastRead+stalledAfter {
+			s.unfinished.push(token)
+			continue
+		}
+		s.stats.Reclaimed++
+		s.requestTimedOut(i, c)
+	}
+}
+
 // logMemoryWait logs that a connection begins or ends to wait for memory, and what uses the memory.
 func (s *Server) logMemoryWait(message string, i int32) {
 	if !s.logsDebug {
--- a/internal/node/front/request.go
+++ b/internal/node/front/request.go
@@ -27,6 +27,7 @@
 	scanFrom   int    // where the search for the end of the head continues
 	request    *http.Request
 	body       []byte        // body of request, as far as received
+	lastRead   time.Duration // when bytes of an unfinished request were last read
 	deferredAt time.Duration // when the request began to wait for memory; 0: it did not wait
 	handle     any           // the handler's identifier of the open request
 	headOnly   bool          // HEAD request: the response has no body
@@ -228,6 +229,7 @@
 	if active != nil && active.request != nil {
 		n := min(len(data), cap(active.body)-len(active.body))
 		active.body = append(active.body, data[:n]...)
+		active.lastRead = s.now
 		if data = data[n:]; len(active.body) == cap(active.body) {
 			s.dispatch(i, c, active.request, active.body, data)
 		}
@@ -253,7 +255,7 @@
 		c.lastWasPOST = false
 		active.buf = append(active.buf[:0], data...)
 		active.scanFrom = next
-		s.account(active, 0, active.bytes())
+		s.keepUnfinished(i, active, active.bytes())
 		return
 	}
 	if end > s.config.MaxHeadSize+headSizeSlack {
@@ -311,7 +313,16 @@
 	active.request = r
 	active.body = append(make([]byte, 0, length), rest...)
 	active.buf, active.scanFrom = active.buf[:0], 0
-	s.account(active, 0, active.bytes()+cap(active.body)+openRequestBytes)
+	s.keepUnfinished(i, active, active.bytes()+cap(active.body)+openRequestBytes)
+}
+
+// keepUnfinished accounts for the memory of a part of a request of which bytes have just been read.
+func (s *Server) keepUnfinished(i int32, active *activeState, bytes int) {
+	active.lastRead = s.now
+	if active.accounted[0] == 0 {
+		s.trackUnfinished(i)
+	}
+	s.account(active, 0, bytes)
 }
 
 // dispatch passes a complete request to the handler. rest is what follows the request.
--- a/internal/node/front/server.go
+++ b/internal/node/front/server.go
@@ -108,6 +108,8 @@
 	deferrals         map[int32]deferral // state of the deferred connections
 	deferredWhole     bandQueue          // deferred connections whose request has arrived whole
 	deferredPartial   bandQueue          // deferred connections in the order of their deferral
+	unfinished        tokenQueue         // connections that hold memory for a part of a request, or held some
+	reclaimAt         time.Duration      // when stalled requests are searched next
 	pool              []*activeState
 	acceptRetryAt     time.Duration
 	date              dateCache
@@ -142,6 +144,7 @@
 	Expired, Evicted, Refused                            uint64
 	Deferred, RequestTimeouts, WriteTimeouts, PeerClosed uint64
 	MemoryTimeouts                                       uint64        // waits for memory that ended without memory
+	Reclaimed                                            uint64        // stalled requests that gave way to others
 	AvertedCloses                                        uint64        // closes that were averted because bytes had arrived
 	MaxTimersDue                                         int           // timers due at the same time
 	MaxTurnTime                                          time.Duration // longest turn of the server's goroutine
@@ -300,6 +303,7 @@
 	}
 	s.capacityFreed = false
 	s.processRunnable()
+	s.reclaimStalled()
 	s.resumeDeferred()
 	end := s.config.Now()
 	s.stats.MaxTurnTime = max(s.stats.MaxTurnTime, end-started)
@@ -313,6 +317,9 @@
 	if s.acceptRetryAt > 0 && (!ok || s.acceptRetryAt < at) {
 		at, ok = s.acceptRetryAt, true
 	}
+	if s.needsReclaim() && (!ok || s.reclaimAt < at) {
+		at, ok = s.reclaimAt, true
+	}
 	if s.runnable.len() > 0 || s.canResume() {
 		at, ok = s.now, true
 	}
--- a/internal/node/front/token_queue.go
+++ b/internal/node/front/token_queue.go
@@ -9,6 +9,9 @@
 
 func (q *tokenQueue) len() int { return len(q.items) - q.head }
 
+// first returns the token that pop would return.
+func (q *tokenQueue) first() uint64 { return q.items[q.head] }
+
 func (q *tokenQueue) push(token uint64) {
 	if q.head > 1024 && q.head > len(q.items)/2 {
 		q.items = append(q.items[:0], q.items[q.head:]...)
--- a/internal/rig/lab/stalling_test.go
+++ b/internal/rig/lab/stalling_test.go
@@ -32,3 +32,15 @@
 		t.Errorf("%.3f of the requests served, want at least 0.95", share)
 	}
 }
+
+// Guards against large requests that are refused because stalled ones hold the memory.
+func TestLargeRequestsAreServedBesideStallingClients(t *testing.T) {
+	r := runFaults(t, func(o *Options) {
+		o.Nodes, o.MemoryMB, o.Traffic.Rate, o.Traffic.Duration, o.Traffic.BodyBytes = 2, 64, 200, 6*time.Second, 60_000
+	}, "stall:node=0,at=1s,for=4s,by=280", "stall:node=1,at=1s,for=4s,by=280")
+	for _, c := range r.Classes {
+		if share := float64(c.Served) / float64(c.Requests); share < 0.95 {
+			t.Errorf("%.3f of the requests of class %s served, want at least 0.95", share, c.Class)
+		}
+	}
+}
