--- a/internal/node/front/pressure.go
+++ b/internal/node/front/pressure.go
@@ -134,6 +134,7 @@
 	}
 }
 
+// queueDeferred queues a deferred connection by the worth of its last request.
 func (s *Server) queueDeferred(q *bandQueue, i int32) {
 	q[s.idleConns.WorthBand(i, deferredBands)].push(s.table.token(i))
 }
@@ -172,20 +173,27 @@
 func (s *Server) resume(i int32, c *conn) {
 	if d, isDeferred := s.deferrals[i]; isDeferred {
 		s.logMemoryWait("reading resumes", i)
-		s.ensureActive(c).deferredAt = d.since
-		delete(s.deferrals, i)
-		s.wheel.Arm(i, s.now+memoryWaitTimeout)
+		s.endDeferral(i, c, d)
 	}
 	c.state = stateReading
 	s.readConn(i, c)
 }
 
+// endDeferral makes a deferred connection an ordinary one, whose request has some more time to come.
+func (s *Server) endDeferral(i int32, c *conn, d deferral) {
+	s.ensureActive(c).deferredAt = d.since
+	delete(s.deferrals, i)
+	s.wheel.Arm(i, s.now+memoryWaitTimeout)
+}
+
 // refuseDeferred ends the wait of a deferred connection. If the head of its request has arrived, the request is
 // refused; otherwise the connection is closed. It reports whether the connection is closed by now.
 func (s *Server) refuseDeferred(i int32, c *conn) (closed bool) {
 	token := s.table.token(i)
-	c.refuse = true
-	s.resume(i, c)
+	s.logMemoryWait("there was no memory in time", i)
+	s.endDeferral(i, c, s.deferrals[i])
+	c.refuse, c.state = true, stateReading
+	s.readConn(i, c)
 	if i, c = s.table.lookup(token); c != nil && c.state == stateReading {
 		s.closeConn(i, c, closeRequestTimeout)
 		return true
