Evict no connection on which bytes have arrived

Cause: the search for a connection to close read four on which bytes had arrived and closed the fifth in any case. After a pause of the process or with many events at once, bytes have arrived on many.

Measured: TestEvictionClosesNoConnectionWithUnreadBytes reads 4 of 10 requests and closes 1 connection before, and reads all now.

--- a/internal/node/front/accept.go
+++ b/internal/node/front/accept.go
@@ -86,27 +86,27 @@
 }
 
 // evictOne closes the idle connection that is first in eviction order. If bytes have arrived on it,
-// it is no longer idle and is read instead.
+// it is no longer idle and is read instead, and so is the next one, up to maxAvertedCloses.
 func (s *Server) evictOne() idleconns.VictimStatus {
-	for tries := 0; ; tries++ {
+	for range maxAvertedCloses {
 		i, status := s.idleConns.Victim(s.now)
 		if status != idleconns.Found {
 			return status
 		}
 		c := s.table.at(i)
-		if c.state == stateDeferred {
+		switch {
+		case c.state == stateDeferred:
 			if s.refuseDeferred(i, c) {
 				return idleconns.Found
 			}
-			continue
+		case s.readArrived(i, c) || s.readRest(i, c):
+		default:
+			s.stats.Evicted++
+			s.closeConn(i, c, closeEvicted)
+			return idleconns.Found
 		}
-		if tries < maxAvertedCloses && (s.readArrived(i, c) || s.readRest(i, c)) {
-			continue
-		}
-		s.stats.Evicted++
-		s.closeConn(i, c, closeEvicted)
-		return idleconns.Found
 	}
+	return idleconns.OnlyNewcomers // there may be others, but bytes have arrived on many
 }
 
 // readArrived reports whether bytes have arrived on a connection that is parked or has never been
--- a/internal/node/front/pressure_test.go
+++ b/internal/node/front/pressure_test.go
@@ -234,3 +234,23 @@
 		t.Errorf("closed: %v, %d requests open", h.closed(c), len(h.open))
 	}
 }
+
+// Guards against closing a connection whose request has arrived because requests have arrived on several others too.
+func TestEvictionClosesNoConnectionWithUnreadBytes(t *testing.T) {
+	h := newHarness(t, 20, 1<<20)
+	const clients = 10
+	for range clients {
+		h.clients = append(h.clients, &scriptedClient{id: h.net.dial(), bodies: []string{"one"}})
+	}
+	h.run()
+	h.net.mu.Lock() // the bytes have arrived, but their events have not
+	for i := range h.net.conns {
+		h.net.conns[i].unread = []byte(post("one"))
+	}
+	h.net.mu.Unlock()
+	h.now += NewConnGrace
+	h.server.runTurn(func() { h.server.evictOne() })
+	if len(h.open) != clients || h.server.stats.Evicted > 0 {
+		t.Errorf("%d of %d requests read, %d connections evicted", len(h.open), clients, h.server.stats.Evicted)
+	}
+}
--- a/internal/node/front/server.go
+++ b/internal/node/front/server.go
@@ -30,7 +30,7 @@
 
 	maxTimersPerTurn       = 256
 	maxAcceptsPerTurn      = 64
-	maxAvertedCloses       = 4  // connections that are read instead of being closed, before one is closed in any case
+	maxAvertedCloses       = 64 // connections that are read instead of being closed, in one search for one to close
 	eventsPerResponseCheck = 16 // events handled between two checks for responses
 	minReadBufferSize      = 8 << 10
 	maxLingerDiscard       = 64 << 10 // bytes discarded after the final response
