Play clients that send at full speed in the lab, red

Change: the lab's fault "flood": clients of a node send small requests of one of four kinds at full speed on one connection each, and read the answers. It shares the start and end of such clients with "stall", so that a node's control takes one call for both. TestRequestsAreAnsweredBesideFloodingClients plays each kind at one of two nodes with 32 MB, beside requests with 500 ms.

--- /dev/null
+++ b/internal/rig/lab/flooding_test.go
@@ -0,0 +1,32 @@
+package lab
+
+import (
+	"testing"
+	"time"
+
+	"curlewring/internal/rig/standin"
+)
+
+// Guards against requests that are answered late or never, and against memory that grows without end, while other
+// clients send small or unsound requests at full speed.
+func TestRequestsAreAnsweredBesideFloodingClients(t *testing.T) {
+	for _, what := range standin.FloodNames() {
+		t.Run(what, func(t *testing.T) {
+			const memoryMB = 32
+			r := runFaults(t, func(o *Options) {
+				o.Nodes, o.MemoryMB, o.Sockets, o.Traffic.Rate, o.Traffic.Duration = 2, memoryMB, 256, 200, 6*time.Second
+				for i := range o.Plan.Classes {
+					o.Plan.Classes[i].Deadline = 500 * time.Millisecond
+				}
+			}, "flood:node=0,at=1s,for=4s,by=6,with="+what)
+			if share := servedShare(r); share < 0.95 {
+				t.Errorf("%.3f of the requests served, want at least 0.95: %+v", share, r.Classes)
+			}
+			for _, n := range r.Nodes {
+				if n.PeakMB > memoryMB {
+					t.Errorf("%s took %.1f MB, its limit is %d", n.Name, n.PeakMB, memoryMB)
+				}
+			}
+		})
+	}
+}
--- a/internal/rig/lab/lab.go
+++ b/internal/rig/lab/lab.go
@@ -77,10 +77,10 @@
 	discoveryAddresses map[string]string        // address of discovery by node name
 	links              *nodeLinks               // relays between nodes; nil without Membership
 	pausedAt           map[string]time.Duration // when a node was paused, by node name
-	stalling           stallingClients          // by node name
+	clientGroups       clientGroups             // that disturb nodes
 	onStart            func(p *process)         // called for each node that was restarted; may be nil
 	restarts           *restarts                // nodes that are not ready yet after a restart
-	mu                 sync.Mutex               // guards the configuration files, links, pausedAt and stalling
+	mu                 sync.Mutex               // guards the configuration files, links, pausedAt and clientGroups
 }
 
 // Open starts the fleet and the nodes, and returns once all are ready. The caller must call Close.
@@ -89,7 +89,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("lab: %w", err)
 	}
-	l := &Lab{restarts: newRestarts(), options: o, dir: dir, specs: map[string]standin.NodeSpec{}, pausedAt: map[string]time.Duration{}, stalling: stallingClients{}, discoveryAddresses: map[string]string{}}
+	l := &Lab{restarts: newRestarts(), options: o, dir: dir, specs: map[string]standin.NodeSpec{}, pausedAt: map[string]time.Duration{}, clientGroups: clientGroups{}, discoveryAddresses: map[string]string{}}
 	defer func() {
 		if err != nil {
 			l.Close()
@@ -504,7 +504,7 @@
 	l.restarts.close()
 	l.stopNodes(5 * time.Second)
 	l.idle.close()
-	l.stalling.stopAll()
+	l.clientGroups.stopAll()
 	for _, c := range l.clients {
 		c.Close()
 	}
--- a/internal/rig/standin/fault.go
+++ b/internal/rig/standin/fault.go
@@ -21,8 +21,9 @@
 	Duration time.Duration
 	// Magnitude depends on the kind. slow: slowdown factor; lag: extra seconds; backup: age in seconds; backlog:
 	// seconds of work; lose, twice, damage: fraction; late: seconds; repeat: longest delay in milliseconds;
-	// unframed: fraction of the answers that are cut off; stall: number of clients.
+	// unframed: fraction of the answers that are cut off; stall, flood: number of clients.
 	Magnitude float64
+	Requests  string // flood: what the clients send, one of FloodNames
 }
 
 // faultTargets maps each kind of fault to what it affects.
@@ -33,7 +34,7 @@
 		"unframed": "boxes", "replace": "boxes",
 		"lag": "discovery", "outage": "discovery", "empty": "discovery", "backup": "discovery", "blackhole": "discovery",
 		"backlog": "discovery", "move": "discovery",
-		"kill": "node", "stop": "node", "term": "node", "stall": "node",
+		"kill": "node", "stop": "node", "term": "node", "stall": "node", "flood": "node",
 		"cut": "links", "lose": "links", "late": "links", "twice": "links", "damage": "links",
 	}
 }
@@ -56,6 +57,9 @@
 	if target == "links" || kind == "unframed" {
 		f.Magnitude = 0.3
 	}
+	if kind == "flood" {
+		f.Requests = "ready"
+	}
 	if !ok {
 		return f, fmt.Errorf("fault %q: unknown kind; kinds are %s", text, strings.Join(FaultKinds(), ", "))
 	}
@@ -78,6 +82,8 @@
 			f.From = value
 		case key == "to" && target == "links":
 			f.To = value
+		case key == "with" && kind == "flood":
+			f.Requests = value
 		case key == "at":
 			f.At, err = parseFaultTime(value)
 		case key == "for":
@@ -103,6 +109,9 @@
 	if kind == "unframed" && f.Magnitude > 1 {
 		return f, fmt.Errorf("fault %q: by is %v, allowed: above 0, up to 1", text, f.Magnitude)
 	}
+	if kind == "flood" && !slices.Contains(FloodNames(), f.Requests) {
+		return f, fmt.Errorf("fault %q: with is %q, allowed: %s", text, f.Requests, strings.Join(FloodNames(), ", "))
+	}
 	if target == "node" && f.Node == "" {
 		return f, fmt.Errorf("fault %q: set node", text)
 	}
@@ -160,9 +169,8 @@
 	Start(name string) error
 	Pause(name string) error  // suspends the process
 	Resume(name string) error // continues a suspended process
-	// Stall starts clients of a node that stop in the middle of a request, and Unstall ends them.
-	Stall(name string, clients int) error
-	Unstall(name string) error
+	// SetClientFault starts or stops the clients of a fault that disturb a node.
+	SetClientFault(f *Fault, on bool) error
 	// MoveDiscovery gives discovery another address. Nodes learn of it through a change of their configuration.
 	MoveDiscovery() error
 	// SetLinkFault begins or ends a fault of the links between nodes.
@@ -237,8 +245,8 @@
 		return nodes.Terminate(fault.Node)
 	case "stop":
 		return nodes.Pause(fault.Node)
-	case "stall":
-		return nodes.Stall(fault.Node, int(fault.Magnitude))
+	case "stall", "flood":
+		return nodes.SetClientFault(fault, true)
 	case "cut", "lose", "late", "twice", "damage":
 		return nodes.SetLinkFault(fault, true)
 	}
@@ -307,8 +315,8 @@
 		return nodes.Start(fault.Node)
 	case "stop":
 		return nodes.Resume(fault.Node)
-	case "stall":
-		return nodes.Unstall(fault.Node)
+	case "stall", "flood":
+		return nodes.SetClientFault(fault, false)
 	case "cut", "lose", "late", "twice", "damage":
 		return nodes.SetLinkFault(fault, false)
 	}
