Log slow turns of the clients' side, rejected requests and clients that leave

Change: the front sums up each second, warns at most every 10 s if a turn took 50 ms or an answer was written after its client's time, and logs the sum at debug level. Debug lines for rejected requests, clients that leave, and answers that the balancer does not hear of. Numbers of connections in the log are not used again.

--- a/internal/node/front/pressure.go
+++ b/internal/node/front/pressure.go
@@ -247,7 +247,7 @@
 	if !s.logsDebug {
 		return
 	}
-	attributes := []any{"connection", i, "limit", s.memory.Limit()}
+	attributes := []any{"connection", s.table.token(i), "limit", s.memory.Limit()}
 	for _, category := range membudget.Categories() {
 		attributes = append(attributes, category.String(), s.memory.Used(category))
 	}
--- a/internal/node/front/request.go
+++ b/internal/node/front/request.go
@@ -33,6 +33,7 @@
 	headOnly   bool          // HEAD request: the response has no body
 	unsent     []byte        // part of the response that is not sent yet
 	discarded  int           // bytes discarded while lingering
+	inRow      int           // requests received since the connection was last idle
 	accounted  [2]int        // bytes accounted in the memory budget: for reading, and for the open request
 }
 
@@ -84,7 +85,7 @@
 // request.
 func (s *Server) closeConn(i int32, c *conn, reason closeReason) {
 	if s.logsDebug {
-		s.config.Log.Debug("client connection closed", "connection", i, "reason", string(reason))
+		s.config.Log.Debug("client connection closed", "connection", s.table.token(i), "reason", string(reason))
 	}
 	s.releaseActive(c)
 	s.wheel.Cancel(i)
@@ -342,6 +343,8 @@
 	}
 	s.stats.Requests++
 	active := s.ensureActive(c)
+	active.inRow++
+	s.monitor.requestReceived(s.table.token(i), active.inRow, len(rest))
 	active.request, active.body = nil, nil
 	if r.Body == http.NoBody || r.ContentLength == 0 && len(r.TransferEncoding) == 0 {
 		r.Body = http.NoBody
@@ -377,6 +380,10 @@
 // reject answers an invalid request and closes its connection.
 func (s *Server) reject(i int32, c *conn, e *requestError) {
 	s.stats.Refused++
+	s.monitor.current.rejected++
+	if s.logsDebug {
+		s.config.Log.Debug("request rejected", "connection", s.table.token(i), "status", e.status, "reason", e.text)
+	}
 	s.ensureActive(c)
 	c.readPending = true
 	s.idleConns.UnclassifiedReceived(i)
--- a/internal/node/front/response.go
+++ b/internal/node/front/response.go
@@ -73,6 +73,9 @@
 // sendResponse sends as much of a response as the client accepts now.
 func (s *Server) sendResponse(i int32, c *conn, r *Response) {
 	s.stats.Responses++
+	if r.WriteDeadline > 0 && s.now > r.WriteDeadline-WriteGrace {
+		s.monitor.current.late++
+	}
 	active := c.active
 	active.handle = nil
 	c.closeAfterResponse = c.closeAfterResponse || r.Close || s.shuttingDown
--- a/internal/node/front/server.go
+++ b/internal/node/front/server.go
@@ -120,6 +120,7 @@
 	logsDebug         bool // debug logging: log closes and waits for memory
 	seed              maphash.Seed
 	stats             Stats
+	monitor           *loadMonitor
 	now               time.Duration
 	tasks             chan func()
 	stopped           chan struct{}
@@ -157,13 +158,15 @@
 // New returns a server for a transport, which the server owns from then on.
 func New(c Config) *Server {
 	now := c.Now()
+	logsDebug := c.Log != nil && c.Log.Enabled(context.Background(), slog.LevelDebug)
 	return &Server{
 		config: c, wheel: timerwheel.New(timerTick, now), now: now,
 		idleConns: idleconns.New(idleconns.Settings{Policy: c.EvictionPolicy, ClassWorths: c.ClassWorths, NewcomerGrace: NewConnGrace, PartialGrace: partialGrace, RememberedClients: c.RememberedClients}, c.IdleRules, now),
 		memory:    membudget.New(c.MemoryBudget), deferrals: map[int32]deferral{},
 		readBuffer: make([]byte, max(minReadBufferSize, c.MaxHeadSize+headSizeSlack+maxSkippedBytes+1)), // a head fits in
 		seed:       maphash.MakeSeed(),
-		logsDebug:  c.Log != nil && c.Log.Enabled(context.Background(), slog.LevelDebug),
+		logsDebug:  logsDebug,
+		monitor:    newLoadMonitor(c.Log, logsDebug, now),
 		tasks:      make(chan func()), stopped: make(chan struct{}), responseReady: make(chan struct{}, 1),
 	}
 }
@@ -307,6 +310,7 @@
 	s.stats.MaxTurnTime = max(s.stats.MaxTurnTime, end-started)
 	s.stats.MaxTimersTime = max(s.stats.MaxTimersTime, end-timers)
 	s.openCount.Store(int64(s.table.inUse))
+	s.monitor.turnEnded(started, end, s.runnable.len())
 }
 
 // nextWake returns when the goroutine has to run without an event.
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -39,6 +39,11 @@
 	overdue // failed by the loop, as the balancer had no answer in time
 )
 
+// String returns the name of the status in logs.
+func (s answerStatus) String() string {
+	return [...]string{served: "served", refused: "refused", failed: "failed", overdue: "overdue"}[s]
+}
+
 // answer is the final answer to a request, as handed to requestHandler.respond.
 type answer struct {
 	answerStatus
@@ -241,6 +246,7 @@
 		l.startRequest(e.pendingRequest)
 	case clientDisconnected:
 		if p := e.pendingRequest; !p.answered {
+			l.trace.clientLeft(p)
 			l.markAnswered(p)
 			if l.budgets != nil {
 				l.budgets.close(p.budget, failed, p.mayHaveRun)
@@ -306,13 +312,11 @@
 // startRequest passes a new request to the balancer.
 func (l *loop) startRequest(p *pendingRequest) {
 	if l.shuttingDown {
-		p.answered = true
-		l.respond(p, answer{answerStatus: failed})
+		l.answerUnopened(p, failed, "the node is shutting down")
 		return
 	}
 	if l.settings.MaxOpenRequests > 0 && len(l.pending) >= l.settings.MaxOpenRequests {
-		p.answered = true
-		l.respond(p, answer{answerStatus: refused})
+		l.answerUnopened(p, refused, "too many open requests")
 		return
 	}
 	if p.finished.Load() { // the client left while the request was queued; clientDisconnected follows
@@ -327,13 +331,20 @@
 	if l.budgets != nil {
 		l.budgets.open(l.now, p)
 	}
-	l.trace.requestArrived(p)
+	l.trace.requestArrived(p, l.now)
 	l.execute(l.balancer.HandleRequest(l.now, p.request, l.actions[:0]))
 	if !p.answered {
 		l.at(p.deadline-safetyMargin, timer{overdue: p})
 	}
 }
 
+// answerUnopened answers a request that the balancer never hears of.
+func (l *loop) answerUnopened(p *pendingRequest, status answerStatus, reason string) {
+	l.trace.answeredUnopened(p, status, reason)
+	p.answered = true
+	l.respond(p, answer{answerStatus: status})
+}
+
 // abandon tells the balancer that a request has ended, and cancels its attempts.
 func (l *loop) abandon(p *pendingRequest) {
 	l.execute(l.balancer.HandleDisconnect(l.now, decide.Disconnect{Request: p.request.ID}, l.actions[:0]))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -93,7 +93,7 @@
 	n.loop.discovery = discovery.New(c.Discovery, position, log, func(u discovery.Update) { n.loop.post(u) })
 	n.loop.budgets = newBudgets(c, log)
 	n.handler = newRequestHandler(c, n.clock, n.loop)
-	n.handler.budgets = n.loop.budgets
+	n.handler.budgets, n.handler.trace = n.loop.budgets, n.loop.trace
 	n.loop.respond = n.handler.respond
 	l, err := listen(c)
 	if err != nil {
--- a/internal/node/request_handler.go
+++ b/internal/node/request_handler.go
@@ -32,6 +32,7 @@
 	budgets      *budgets        // nil: budgets are off
 	maxWaits     []time.Duration // longest time that a client waits, by class
 	front        *front.Server
+	trace        *trace      // nil: debug logging is off
 	shuttingDown atomic.Bool // shutdown has begun: /ready answers 503
 
 	mu       sync.Mutex
@@ -84,6 +85,7 @@
 	if p == nil {
 		// The connection is closed: after such an error, what follows on it may be no request
 		// but, for instance, the rest of this one's body.
+		h.trace.requestRejected(t, r.Header.Get("X-Txn"), status, problem)
 		rejection := &front.Response{Status: status, Text: problem, Close: true}
 		if spent != "" {
 			rejection.HeaderName, rejection.HeaderValue = budget.SpentHeaderName, spent
@@ -92,7 +94,9 @@
 	}
 	if a.Refuse {
 		h.releaseTxn(p.upstreamRequest.Txn)
-		return nil, p.request.Class, &front.Response{Status: http.StatusTooManyRequests, Text: "too many connections or too little memory", Close: true}
+		const reason = "too many connections or too little memory"
+		h.trace.requestRejected(t, p.txn, http.StatusTooManyRequests, reason)
+		return nil, p.request.Class, &front.Response{Status: http.StatusTooManyRequests, Text: reason, Close: true}
 	}
 	p.token, p.arrivedAt = t, now
 	h.loop.post(requestArrived{p})
--- a/internal/node/trace.go
+++ b/internal/node/trace.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"curlewring/decide"
+	"curlewring/internal/node/front"
 	"curlewring/internal/node/upstream"
 	"curlewring/internal/servers/endpoints"
 )
@@ -23,9 +24,23 @@
 	return &trace{log}
 }
 
-func (t *trace) requestArrived(p *pendingRequest) {
+func (t *trace) requestArrived(p *pendingRequest, now time.Duration) {
 	if t != nil {
-		t.log.Debug("request", "txn", p.txn, "class", p.request.Class, "wait", p.request.TTL)
+		t.log.Debug("request", "txn", p.txn, "class", p.request.Class, "wait", p.request.TTL, "connection", uint64(p.token), "queued", now-p.arrivedAt)
+	}
+}
+
+// requestRejected logs a request that the front rejects or refuses before the loop has it.
+func (t *trace) requestRejected(token front.Token, txn string, status int, reason string) {
+	if t != nil {
+		t.log.Debug("request rejected", "txn", txn, "connection", uint64(token), "status", status, "reason", reason)
+	}
+}
+
+// clientLeft logs that a client has closed its connection before it had an answer.
+func (t *trace) clientLeft(p *pendingRequest) {
+	if t != nil {
+		t.log.Debug("client left", "txn", p.txn, "connection", uint64(p.token), "attempts", len(p.attempts), "open", p.openAttempts)
 	}
 }
 
@@ -44,8 +59,14 @@
 
 func (t *trace) answered(p *pendingRequest, status answerStatus, reason decide.Reason) {
 	if t != nil {
-		names := [...]string{served: "served", refused: "refused", failed: "failed", overdue: "overdue"}
-		t.log.Debug("answer", "txn", p.txn, "ending", names[status], "reason", reason.String(), "attempts", len(p.attempts))
+		t.log.Debug("answer", "txn", p.txn, "ending", status.String(), "reason", reason.String(), "attempts", len(p.attempts))
+	}
+}
+
+// answeredUnopened logs the answer to a request that the balancer never heard of.
+func (t *trace) answeredUnopened(p *pendingRequest, status answerStatus, reason string) {
+	if t != nil {
+		t.log.Debug("answer", "txn", p.txn, "ending", status.String(), "reason", reason, "attempts", 0)
 	}
 }
 
