Read one buffer of a pipelining client at most, and leave time to others

Seen by callers: while six other clients sent GET /ready at full speed, requests at that node were answered late or never, and its memory grew beyond its limit.

Cause: after a request that the handler answers at once, readConn went on reading the same connection, up to four buffers a turn, and each answer and each stop of reading queued the connection once more. So a flooding client's unprocessed bytes and its entries in the queue grew without end, and each of its requests copied all of them. Turns took 80 to 155 ms, 9 to 13 a second. And without that, front and loop had always more to do, so that the runtime looked for ready sockets every 10 ms at best: a dial on loopback took 196 ms.

Change: a connection is queued once at most, and is not read while bytes of its next request wait. Rounds of the queue are followed by a pause of four times their length, so that the process is idle in between.

--- a/internal/node/front/conn_table.go
+++ b/internal/node/front/conn_table.go
@@ -31,6 +31,7 @@
 	lastWasPOST        bool
 	keepAlive          bool // TCP keepalive is enabled
 	closeAfterResponse bool // close the connection after the response
+	queued             bool // it is in the queue of runnable connections
 }
 
 // parkedConnBytes is the memory of a parked connection: its row, its timer, and its entry in
--- /dev/null
+++ b/internal/node/front/flooding_test.go
@@ -0,0 +1,57 @@
+package front
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+const immediateRequest = "GET /now HTTP/1.1\r\nHost: a\r\n\r\n"
+
+// Guards against memory and a queue that grow while clients send small requests faster than they are answered.
+func TestPipeliningClientsHoldOneBufferEach(t *testing.T) {
+	const clients, requests = 3, 20_000
+	h := newHarness(t, 10, 1<<20)
+	for range clients {
+		h.addClient(strings.Repeat(immediateRequest, requests))
+	}
+	for h.immediate < clients*requests {
+		before := h.immediate
+		h.run()
+		if h.immediate == before {
+			t.Fatalf("%d of %d requests answered", h.immediate, clients*requests)
+		}
+		if n := h.server.runnable.len(); n > clients {
+			t.Fatalf("%d entries for %d connections are queued", n, clients)
+		}
+		for i := range clients {
+			if active := h.server.table.at(int32(i)).active; active != nil && cap(active.buf) > 2*len(h.server.readBuffer) {
+				t.Fatalf("a connection holds %d bytes, a read has %d", cap(active.buf), len(h.server.readBuffer))
+			}
+		}
+	}
+}
+
+// Guards against clients that send small requests at full speed and leave no time to others, or to the rest of the
+// process.
+func TestPipeliningClientsLeaveTimeToOthers(t *testing.T) {
+	const clients, length = 6, time.Second
+	h := newHarness(t, 10, 1<<20)
+	h.immediateCost = 50 * time.Microsecond
+	for range clients {
+		h.addClient(strings.Repeat(immediateRequest, 100_000))
+	}
+	start, before := h.now, h.immediate
+	h.advance(length)
+	worked := time.Duration(h.immediate-before) * h.immediateCost
+	if limit := (h.now - start) / 2; worked > limit {
+		t.Errorf("worked for %v of %v", worked, h.now-start)
+	}
+	if worked == 0 {
+		t.Error("the clients are not served at all")
+	}
+	h.addClient(post("one"), "one")
+	if len(h.open) != 1 {
+		t.Error("another client's request was not read at once")
+	}
+}
--- a/internal/node/front/request.go
+++ b/internal/node/front/request.go
@@ -12,13 +12,16 @@
 )
 
 const (
-	maxReadsPerTurn    = 4   // successive reads of one connection
-	maxRunnablePerTurn = 64  // connections with unprocessed bytes continued in one turn
-	minPooled          = 16  // activeStates kept for reuse
-	maxPooled          = 256 // more than these are left to the garbage collector
-	openRequestBytes   = 4 << 10
-	maxPooledBuffer    = 4 << 10 // a larger buffer is not pooled
-	maxSkippedBytes    = 4       // of empty lines after a POST
+	maxReadsPerTurn    = 4  // successive reads of one connection
+	maxRunnablePerTurn = 64 // connections with unprocessed bytes continued in one turn
+	// pipelinePauseFactor leaves time for the loop, which may work longer for a request than the front does, and for
+	// idle moments, in which the runtime looks for ready sockets.
+	pipelinePauseFactor = 4
+	minPooled           = 16  // activeStates kept for reuse
+	maxPooled           = 256 // more than these are left to the garbage collector
+	openRequestBytes    = 4 << 10
+	maxPooledBuffer     = 4 << 10 // a larger buffer is not pooled
+	maxSkippedBytes     = 4       // of empty lines after a POST
 )
 
 // activeState is what a connection needs in addition to its row while it is not parked.
@@ -163,37 +166,67 @@
 	s.wheel.Arm(i, s.now+RequestTimeout)
 }
 
-// processRunnable continues with the connections that have bytes of a next request: one request, or
-// a few reads, for each.
+// enqueueRunnable queues a connection that has, or may have, bytes of a next request.
+func (s *Server) enqueueRunnable(i int32, c *conn) {
+	if !c.queued {
+		c.queued = true
+		s.runnable.push(s.table.token(i))
+	}
+}
+
+// processRunnable continues with the connections that have bytes of a next request: one request, or a few reads, for
+// each. Clients that send one request at a time go first, as rounds are followed by a pause.
 func (s *Server) processRunnable() {
+	if s.runnable.len() == 0 || !s.pipelining.MayStart(s.now) {
+		return
+	}
+	started := s.config.Now()
 	for n := min(s.runnable.len(), maxRunnablePerTurn); n > 0; n-- {
-		i, c := s.table.lookup(s.runnable.pop())
-		if c == nil || c.state != stateReading {
-			continue
-		}
-		generation := c.generation
-		if active := c.active; active != nil && active.request == nil && len(active.buf) > 0 {
-			rest := active.buf
-			active.buf, active.scanFrom = nil, 0
-			s.consume(i, c, rest)
-		}
-		if c.generation == generation && c.state == stateReading && c.readPending {
-			c.readPending = false
-			s.readConn(i, c)
-		}
-		if c.generation == generation && c.state == stateReading && !c.readPending && (c.active == nil || len(c.active.buf) == 0 && c.active.request == nil) {
-			s.park(i, c) // there were no bytes after all
+		if i, c := s.table.lookup(s.runnable.pop()); c != nil {
+			c.queued = false
+			s.continueReading(i, c)
 		}
 	}
+	s.pipelining.RoundEnded(started, s.config.Now())
+}
+
+// continueReading reads the next request of a connection from the bytes that followed the last one, and then from the
+// socket.
+func (s *Server) continueReading(i int32, c *conn) {
+	if c.state != stateReading {
+		return
+	}
+	generation := c.generation
+	if active := c.active; active != nil && active.request == nil && len(active.buf) > 0 {
+		rest := active.buf
+		active.buf, active.scanFrom = nil, 0
+		s.consume(i, c, rest)
+	}
+	if !s.mayRead(c, generation) {
+		return
+	}
+	if c.readPending {
+		c.readPending = false
+		s.readConn(i, c)
+	}
+	if s.mayRead(c, generation) && !c.readPending && (c.active == nil || len(c.active.buf) == 0 && c.active.request == nil) {
+		s.park(i, c) // there were no bytes after all
+	}
+}
+
+// mayRead reports whether a connection is still the one of a generation and waits for bytes of a request. If its next
+// request has been read already, it has to wait for its turn.
+func (s *Server) mayRead(c *conn, generation uint32) bool {
+	return c.generation == generation && c.state == stateReading && !c.queued
 }
 
 // readConn reads until a complete request has come or there are no more bytes.
 func (s *Server) readConn(i int32, c *conn) {
 	generation := c.generation
-	for reads := 0; c.generation == generation && c.state == stateReading; reads++ {
+	for reads := 0; s.mayRead(c, generation); reads++ {
 		if reads == maxReadsPerTurn {
 			c.readPending = true
-			s.runnable.push(s.table.token(i))
+			s.enqueueRunnable(i, c)
 			return
 		}
 		n, err := s.config.Transport.Read(c.socket, s.readBuffer)
@@ -204,7 +237,7 @@
 		}
 		switch {
 		case err == nil && full:
-			if c.generation == generation && c.state == stateReading {
+			if s.mayRead(c, generation) {
 				c.readPending = false
 			}
 			continue
--- a/internal/node/front/response.go
+++ b/internal/node/front/response.go
@@ -158,7 +158,7 @@
 		c.state = stateReading
 		s.idleConns.RequestPipelined(s.now, i)
 		s.wheel.Arm(i, s.now+RequestTimeout)
-		s.runnable.push(s.table.token(i))
+		s.enqueueRunnable(i, c)
 		return
 	}
 	s.park(i, c)
--- a/internal/node/front/server.go
+++ b/internal/node/front/server.go
@@ -11,6 +11,7 @@
 
 	"curlewring/internal/conns/idleconns"
 	"curlewring/internal/conns/membudget"
+	"curlewring/internal/sched/dutycycle"
 	"curlewring/internal/sched/timerwheel"
 )
 
@@ -103,6 +104,7 @@
 	peekBuffer        [1]byte
 	expired           tokenQueue         // tokens of parked connections whose idle time is over
 	runnable          tokenQueue         // connections with unprocessed bytes, served in turn
+	pipelining        *dutycycle.Limiter // spaces the rounds in which they are served
 	deferrals         map[int32]deferral // state of the deferred connections
 	deferredWhole     bandQueue          // deferred connections whose request has arrived whole
 	deferredPartial   bandQueue          // deferred connections in the order of their deferral
@@ -160,7 +162,7 @@
 	now := c.Now()
 	logsDebug := c.Log != nil && c.Log.Enabled(context.Background(), slog.LevelDebug)
 	return &Server{
-		config: c, wheel: timerwheel.New(timerTick, now), now: now,
+		config: c, pipelining: dutycycle.New(pipelinePauseFactor), wheel: timerwheel.New(timerTick, now), now: now,
 		idleConns: idleconns.New(idleconns.Settings{Policy: c.EvictionPolicy, ClassWorths: c.ClassWorths, NewcomerGrace: NewConnGrace, PartialGrace: partialGrace, RememberedClients: c.RememberedClients}, c.IdleRules, now),
 		memory:    membudget.New(c.MemoryBudget), deferrals: map[int32]deferral{},
 		readBuffer: make([]byte, max(minReadBufferSize, c.MaxHeadSize+headSizeSlack+maxSkippedBytes+1)), // a head fits in
@@ -322,7 +324,10 @@
 	if s.needsReclaim() && (!ok || s.reclaimAt < at) {
 		at, ok = s.reclaimAt, true
 	}
-	if s.runnable.len() > 0 || s.canResume() {
+	if s.runnable.len() > 0 && (!ok || s.pipelining.NextAt() < at) {
+		at, ok = max(s.now, s.pipelining.NextAt()), true
+	}
+	if s.canResume() {
 		at, ok = s.now, true
 	}
 	return at, ok
--- a/internal/node/front/simulation_test.go
+++ b/internal/node/front/simulation_test.go
@@ -32,6 +32,9 @@
 	timeLeft time.Duration   // of every client
 	waits    []time.Duration // how long each request waited for memory, in the order of their arrival
 	refused  int
+
+	immediateCost time.Duration // time that a request takes which the handler answers at once
+	immediate     int           // such requests
 }
 
 type scriptedClient struct {
@@ -77,6 +80,8 @@
 		return nil, -1, &Response{Status: http.StatusBadRequest, Text: "malformed", Close: true}
 	}
 	if r.URL.Path == "/now" {
+		h.now += h.immediateCost
+		h.immediate++
 		return nil, -1, &Response{Status: http.StatusOK, Text: "now"}
 	}
 	bodyUnread := a.Refuse && len(body) == 0
