Let connections that have had their last answer give way to new ones

Seen by callers: while six clients sent unsound requests at full speed and came again after each error, 245 to 307 of 1,148 requests at two nodes with 256 descriptors were refused at first, and nine in ten were answered in up to 161 ms.

Cause: the connection of a client that is turned away lingers for 500 ms if the client goes on sending, and is none that can be evicted. Six clients hold all 108 places, and whatever comes above is refused.

Change: connections that linger give way first when a place is needed, 20 ms after their last answer.

TestLingeringConnectionsGiveWay fails before.

--- a/internal/node/front/flooding_test.go
+++ b/internal/node/front/flooding_test.go
@@ -55,3 +55,22 @@
 		t.Error("another client's request was not read at once")
 	}
 }
+
+// Guards against connections that are refused while clients that were turned away, and go on sending, hold the places.
+func TestLingeringConnectionsGiveWay(t *testing.T) {
+	const places = 10
+	h := newHarness(t, places, 1<<20)
+	for range places {
+		h.addClient("nonsense\r\n\r\n").malformed = true
+	}
+	if got := h.server.table.inUse; got != places {
+		t.Fatalf("%d connections are open, want %d", got, places)
+	}
+	h.advance(lingerGrace)
+	for n := range places {
+		h.addClient(post("one"), "one")
+		if len(h.open) != n+1 || h.refused > 0 {
+			t.Fatalf("%d of %d requests were read, %d refused", len(h.open), n+1, h.refused)
+		}
+	}
+}
--- a/internal/node/front/pressure.go
+++ b/internal/node/front/pressure.go
@@ -203,10 +203,7 @@
 
 // trackUnfinished notes that a connection holds memory for a part of a request.
 func (s *Server) trackUnfinished(i int32) {
-	for s.unfinished.len() > 0 && !s.holdsUnfinished(s.unfinished.first()) {
-		s.unfinished.pop()
-	}
-	s.unfinished.push(s.table.token(i))
+	s.unfinished.pushAfterDropping(s.table.token(i), s.holdsUnfinished)
 }
 
 // holdsUnfinished reports whether a token's connection still holds memory for a part of a request.
--- a/internal/node/front/request.go
+++ b/internal/node/front/request.go
@@ -36,6 +36,7 @@
 	headOnly   bool          // HEAD request: the response has no body
 	unsent     []byte        // part of the response that is not sent yet
 	discarded  int           // bytes discarded while lingering
+	lingersAt  time.Duration // when the connection began to linger
 	inRow      int           // requests received since the connection was last idle
 	accounted  [2]int        // bytes accounted in the memory budget: for reading, and for the open request
 }
--- a/internal/node/front/response.go
+++ b/internal/node/front/response.go
@@ -150,6 +150,8 @@
 		s.account(active, 1, 0)
 		s.idleConns.UnclassifiedReceived(i)
 		s.wheel.Arm(i, s.now+lingerTimeout)
+		active.lingersAt = s.now
+		s.lingering.pushAfterDropping(s.table.token(i), s.isLingering)
 		s.discardInput(i, c)
 		return
 	}
--- a/internal/node/front/server.go
+++ b/internal/node/front/server.go
@@ -21,6 +21,8 @@
 	WriteGrace          = time.Second     // after its request's deadline, a client that doesn't read is cut off
 	defaultWriteTimeout = 10 * time.Second
 	lingerTimeout       = 500 * time.Millisecond
+	// lingerGrace is left to the client of a lingering connection before the connection gives way to others.
+	lingerGrace = 20 * time.Millisecond
 	// A new connection is expected to send its first request within this time.
 	NewConnGrace = 250 * time.Millisecond
 	// The rest of a request that has begun is expected within this time while others wait to be accepted
@@ -108,6 +110,7 @@
 	deferrals         map[int32]deferral // state of the deferred connections
 	deferredWhole     bandQueue          // deferred connections whose request has arrived whole
 	deferredPartial   bandQueue          // deferred connections in the order of their deferral
+	lingering         tokenQueue         // connections that are or were lingering, in the order in which that began
 	unfinished        tokenQueue         // connections that hold memory for a part of a request, or held some
 	reclaimAt         time.Duration      // when stalled requests are searched next
 	pool              []*activeState
--- a/internal/node/front/token_queue.go
+++ b/internal/node/front/token_queue.go
@@ -20,6 +20,15 @@
 	q.items = append(q.items, token)
 }
 
+// pushAfterDropping adds a token and removes those at the front that are no longer of use, so that tokens which are
+// removed in no other way do not pile up.
+func (q *tokenQueue) pushAfterDropping(token uint64, inUse func(token uint64) bool) {
+	for q.len() > 0 && !inUse(q.first()) {
+		q.pop()
+	}
+	q.push(token)
+}
+
 func (q *tokenQueue) pop() uint64 {
 	token := q.items[q.head]
 	if q.head++; q.head == len(q.items) {
