Do not take requests with no time left for an overload

Seen by callers: beside six clients that send sound requests with X-Remaining-Ms: 0 at full speed, requests of the two lower classes were refused, and answered only after the client's retries.

Cause: HandleRequest opens such a request, and the failure that follows counts as a call that took its whole latency target. Thousands of them a second lift the latency ratio to 1, at which every request is refused that does not come while none is open. They also filled the budget of retries and the quota of their tenant.

Change: a request with no time left fails before anything is counted. Its answer is the same.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -176,8 +176,8 @@
 }
 
 // HandleRequest takes a new request: first the front tier decides on admission, then a server is chosen. A
-// request of an unknown class fails, one with the id of an open request is ignored, and an unknown tenant
-// counts as none.
+// request of an unknown class or with no time left fails, one with the id of an open request is ignored, and an
+// unknown tenant counts as none.
 func (b *Balancer) HandleRequest(now time.Duration, r Request, out []Action) []Action {
 	b.beginEvent(now, out)
 	if b.calls[r.ID] != nil {
@@ -187,6 +187,10 @@
 		b.emit(Action{Kind: Fail, Request: r.ID, Reason: UnknownClass})
 		return b.actions
 	}
+	if r.TTL <= 0 { // it says nothing of the servers or of the traffic that they could serve
+		b.emit(Action{Kind: Fail, Request: r.ID, Reason: DeadlineExceeded})
+		return b.actions
+	}
 	class := &b.cfg.Classes[r.Class]
 	worth := class.Worth
 	if r.Tenant >= 0 && r.Tenant < len(b.tenants) && !b.takeQuotaToken(r.Tenant) {
