Limit the fields of a request's head, and count what parsed heads take

Seen by callers: while 300 clients of a node with 32 MB sent heads of some 2,700 short fields and half of a body and stopped, the node took 43.6 to 46.5 MB, and its other clients' requests were answered late or not.

Cause: a request whose body has not come keeps its parsed head, in which a field of five bytes takes more than a hundred. The memory budget counted 4 KiB for it. What open requests keep of long heads was not counted either.

Change: a head of more than 128 fields is rejected (431) before it is parsed. The text of a parsed head, twice, and 64 bytes a field are counted with the request. The lab's fault "stall" plays four ways to stop in a request.

TestHeadsOfManyFieldsAreCounted is new.

--- a/internal/node/front/flooding_test.go
+++ b/internal/node/front/flooding_test.go
@@ -1,9 +1,12 @@
 package front
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
+
+	"curlewring/internal/conns/membudget"
 )
 
 const immediateRequest = "GET /now HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -74,3 +77,32 @@
 		}
 	}
 }
+
+// Guards against memory that heads of very many short fields take without being counted.
+func TestHeadsOfManyFieldsAreCounted(t *testing.T) {
+	head := func(fields int) string {
+		var b strings.Builder
+		b.WriteString("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n")
+		for n := range fields - 2 {
+			fmt.Fprintf(&b, "%x:\r\n", n)
+		}
+		return b.String() + "\r\n"
+	}
+	h := newHarness(t, 10, 1<<20)
+	accepted := h.addClient(head(maxHeadFields)+"bo", "body")
+	if held := h.server.memory.Used(membudget.PartialRequests); held < openRequestBytes+parsedFieldBytes*maxHeadFields+len(head(maxHeadFields)) {
+		t.Errorf("an unfinished request of %d fields counts as %d bytes", maxHeadFields, held)
+	}
+	h.net.send(accepted.id, []byte("dy"))
+	h.run()
+	if len(h.open) != 1 {
+		t.Errorf("a request of %d fields was not read", maxHeadFields)
+	}
+	if held := h.server.memory.Used(membudget.OpenRequests); held < openRequestBytes+len(head(maxHeadFields)) {
+		t.Errorf("an open request of %d fields counts as %d bytes", maxHeadFields, held)
+	}
+	rejected := h.addClient(head(maxHeadFields+1) + "bo")
+	if got := h.written(rejected); !strings.HasPrefix(got, "HTTP/1.1 431 ") {
+		t.Errorf("a request of %d fields got %q", maxHeadFields+1, got)
+	}
+}
--- a/internal/node/front/head_parser.go
+++ b/internal/node/front/head_parser.go
@@ -13,6 +13,22 @@
 // same.
 const headSizeSlack = 4096
 
+const (
+	// maxHeadFields limits the fields of a head: a parsed field takes many times the bytes of a short one.
+	maxHeadFields     = 128
+	parsedFieldBytes  = 64 // of a field in a parsed head, without its text
+	parsedTextCopies  = 2  // copies of a head's text that its parsed form may hold
+	linesWithoutField = 2  // the request line and the empty line
+)
+
+// headFields returns the number of fields in a complete head. Lines that continue a field count as fields.
+func headFields(head []byte) int { return bytes.Count(head, []byte{'\n'}) - linesWithoutField }
+
+// parsedHeadBytes returns about how many bytes the parsed form of a head takes.
+func parsedHeadBytes(head []byte) int {
+	return parsedTextCopies*len(head) + parsedFieldBytes*headFields(head)
+}
+
 // headParser parses request heads with net/http's parser and reuses its buffers.
 type headParser struct {
 	bytes  bytes.Reader
@@ -50,6 +66,9 @@
 
 // parseHead parses data, which must be one complete head and nothing else.
 func (p *headParser) parseHead(data []byte) (*http.Request, *requestError) {
+	if headFields(data) > maxHeadFields {
+		return nil, &requestError{http.StatusRequestHeaderFieldsTooLarge, "the head has too many fields"}
+	}
 	if p.reader == nil {
 		p.reader = bufio.NewReader(nil)
 	}
--- a/internal/node/front/request.go
+++ b/internal/node/front/request.go
@@ -30,6 +30,7 @@
 	scanFrom   int    // where the search for the end of the head continues
 	request    *http.Request
 	body       []byte        // body of request, as far as received
+	headBytes  int           // memory of the request's parsed head
 	lastRead   time.Duration // when bytes of an unfinished request were last read
 	deferredAt time.Duration // when the request began to wait for memory; 0: it did not wait
 	handle     any           // the handler's identifier of the open request
@@ -303,6 +304,7 @@
 		return
 	}
 	c.lastWasPOST = r.Method == http.MethodPost
+	s.ensureActive(c).headBytes = parsedHeadBytes(data[:end])
 	s.handleHead(i, c, r, data[end:])
 }
 
@@ -348,7 +350,7 @@
 	active.request = r
 	active.body = append(make([]byte, 0, length), rest...)
 	active.buf, active.scanFrom = active.buf[:0], 0
-	s.keepUnfinished(i, active, active.bytes()+cap(active.body)+openRequestBytes)
+	s.keepUnfinished(i, active, active.bytes()+cap(active.body)+openRequestBytes+active.headBytes)
 }
 
 // keepUnfinished accounts for the memory of a part of a request of which bytes have just been read.
@@ -403,7 +405,7 @@
 	active.buf, active.scanFrom = append(active.buf[:0], rest...), 0
 	c.pipelined = len(rest) > 0 // bytes of the next request hide that the client has closed
 	s.account(active, 0, 0)
-	s.account(active, 1, openRequestBytes+len(body)+cap(active.buf))
+	s.account(active, 1, openRequestBytes+active.headBytes+len(body)+cap(active.buf))
 	if response != nil {
 		s.sendResponse(i, c, response)
 		return
--- a/internal/rig/standin/clientgroup.go
+++ b/internal/rig/standin/clientgroup.go
@@ -64,7 +64,7 @@
 	count := int(f.Magnitude)
 	switch f.Kind {
 	case "stall":
-		return StartStalling(plan, address, count)
+		return StartStalling(plan, address, count, f.Requests)
 	case "flood":
 		return StartFlooding(plan, address, count, f.Requests)
 	}
--- a/internal/rig/standin/fault.go
+++ b/internal/rig/standin/fault.go
@@ -23,7 +23,7 @@
 	// seconds of work; lose, twice, damage: fraction; late: seconds; repeat: longest delay in milliseconds;
 	// unframed: fraction of the answers that are cut off; stall, flood: number of clients.
 	Magnitude float64
-	Requests  string // flood: what the clients send, one of FloodNames
+	Requests  string // stall, flood: what the clients send, one of StallNames or FloodNames
 }
 
 // faultTargets maps each kind of fault to what it affects.
@@ -57,9 +57,8 @@
 	if target == "links" || kind == "unframed" {
 		f.Magnitude = 0.3
 	}
-	if kind == "flood" {
-		f.Requests = "ready"
-	}
+	allowedRequests := map[string][]string{"stall": StallNames(), "flood": FloodNames()}[kind]
+	f.Requests = map[string]string{"stall": "body", "flood": "ready"}[kind]
 	if !ok {
 		return f, fmt.Errorf("fault %q: unknown kind; kinds are %s", text, strings.Join(FaultKinds(), ", "))
 	}
@@ -82,7 +81,7 @@
 			f.From = value
 		case key == "to" && target == "links":
 			f.To = value
-		case key == "with" && kind == "flood":
+		case key == "with" && len(allowedRequests) > 0:
 			f.Requests = value
 		case key == "at":
 			f.At, err = parseFaultTime(value)
@@ -109,8 +108,8 @@
 	if kind == "unframed" && f.Magnitude > 1 {
 		return f, fmt.Errorf("fault %q: by is %v, allowed: above 0, up to 1", text, f.Magnitude)
 	}
-	if kind == "flood" && !slices.Contains(FloodNames(), f.Requests) {
-		return f, fmt.Errorf("fault %q: with is %q, allowed: %s", text, f.Requests, strings.Join(FloodNames(), ", "))
+	if len(allowedRequests) > 0 && !slices.Contains(allowedRequests, f.Requests) {
+		return f, fmt.Errorf("fault %q: with is %q, allowed: %s", text, f.Requests, strings.Join(allowedRequests, ", "))
 	}
 	if target == "node" && f.Node == "" {
 		return f, fmt.Errorf("fault %q: set node", text)
