--- a/internal/rig/lab/clientgroups.go
+++ b/internal/rig/lab/clientgroups.go
@@ -40,7 +40,7 @@
 	if running != nil {
 		return fmt.Errorf("fault %s: its clients of %s run already", f.Kind, p.name)
 	}
-	group, err := standin.StartClientGroup(f, &l.Fleet.Plan, p.address)
+	group, err := l.Fleet.StartClientGroup(f, p.name, p.address)
 	if err != nil {
 		return err
 	}
--- a/internal/rig/standin/client.go
+++ b/internal/rig/standin/client.go
@@ -229,20 +229,34 @@
 		}
 		return Response{}, "", errNewConnClosed
 	}
-	resp, err := http.ReadResponse(conn.reader, nil)
+	response, answeredBy, closes, err := readAnswer(conn.reader, req.ID)
 	if err != nil {
-		return Response{}, "", fmt.Errorf("read response: %w", err)
+		return Response{}, "", err
+	}
+	if closes || !stop() {
+		conn.Close()
+	} else {
+		c.putConn(conn)
+	}
+	return response, answeredBy, nil
+}
+
+// readAnswer reads the response to a request and returns the server that its body names, if it is the request's own
+// answer, and whether the connection closes after it.
+func readAnswer(reader *bufio.Reader, id string) (response Response, answeredBy string, closes bool, err error) {
+	resp, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return Response{}, "", false, fmt.Errorf("read response: %w", err)
 	}
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return Response{}, "", fmt.Errorf("read response body: %w", err)
+		return Response{}, "", false, fmt.Errorf("read response body: %w", err)
 	}
-	response := Response{Status: resp.StatusCode, SpentHeader: resp.Header.Get(budget.SpentHeaderName)}
-	answeredBy := ""
+	response = Response{Status: resp.StatusCode, SpentHeader: resp.Header.Get(budget.SpentHeaderName)}
 	switch resp.StatusCode {
 	case http.StatusOK:
 		response.Outcome = judge.Served
-		if server, id, _ := strings.Cut(strings.TrimSuffix(string(body), "\n"), " "); id == req.ID {
+		if server, answeredID, _ := strings.Cut(strings.TrimSuffix(string(body), "\n"), " "); answeredID == id {
 			answeredBy = server
 		}
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
@@ -253,12 +267,7 @@
 	default:
 		response.Outcome = judge.Failed
 	}
-	if resp.Close || !stop() {
-		conn.Close()
-	} else {
-		c.putConn(conn)
-	}
-	return response, answeredBy, nil
+	return response, answeredBy, resp.Close, nil
 }
 
 // ConnsOpened returns how many connections the client has opened.
--- a/internal/rig/standin/clientgroup.go
+++ b/internal/rig/standin/clientgroup.go
@@ -59,14 +59,16 @@
 	use(conn)
 }
 
-// StartClientGroup starts the clients of a fault that disturb the node at an address.
-func StartClientGroup(f *Fault, plan *Plan, address string) (*ClientGroup, error) {
-	count := int(f.Magnitude)
-	switch f.Kind {
+// StartClientGroup starts the clients of a fault that disturb a node.
+func (f *Fleet) StartClientGroup(fault *Fault, node, address string) (*ClientGroup, error) {
+	count := int(fault.Magnitude)
+	switch fault.Kind {
 	case "stall":
-		return StartStalling(plan, address, count, f.Requests)
+		return StartStalling(&f.Plan, address, count, fault.Requests)
 	case "flood":
-		return StartFlooding(plan, address, count, f.Requests)
+		return StartFlooding(&f.Plan, address, count, fault.Requests)
+	case "abandon":
+		return StartLeaving(f, node, address, count, fault.Requests)
 	}
-	return nil, fmt.Errorf("fault %s starts no clients", f.Kind)
+	return nil, fmt.Errorf("fault %s starts no clients", fault.Kind)
 }
--- a/internal/rig/standin/fault.go
+++ b/internal/rig/standin/fault.go
@@ -21,9 +21,9 @@
 	Duration time.Duration
 	// Magnitude depends on the kind. slow: slowdown factor; lag: extra seconds; backup: age in seconds; backlog:
 	// seconds of work; lose, twice, damage: fraction; late: seconds; repeat: longest delay in milliseconds;
-	// unframed: fraction of the answers that are cut off; stall, flood: number of clients.
+	// unframed: fraction of the answers that are cut off; stall, flood, abandon: number of clients.
 	Magnitude float64
-	Requests  string // stall, flood: what the clients send, one of StallNames or FloodNames
+	Requests  string // stall, flood: what the clients send, one of StallNames, FloodNames or LeaveNames
 }
 
 // faultTargets maps each kind of fault to what it affects.
@@ -34,7 +34,7 @@
 		"unframed": "boxes", "replace": "boxes",
 		"lag": "discovery", "outage": "discovery", "empty": "discovery", "backup": "discovery", "blackhole": "discovery",
 		"backlog": "discovery", "move": "discovery",
-		"kill": "node", "stop": "node", "term": "node", "stall": "node", "flood": "node",
+		"kill": "node", "stop": "node", "term": "node", "stall": "node", "flood": "node", "abandon": "node",
 		"cut": "links", "lose": "links", "late": "links", "twice": "links", "damage": "links",
 	}
 }
@@ -57,8 +57,8 @@
 	if target == "links" || kind == "unframed" {
 		f.Magnitude = 0.3
 	}
-	allowedRequests := map[string][]string{"stall": StallNames(), "flood": FloodNames()}[kind]
-	f.Requests = map[string]string{"stall": "body", "flood": "ready"}[kind]
+	allowedRequests := map[string][]string{"stall": StallNames(), "flood": FloodNames(), "abandon": LeaveNames()}[kind]
+	f.Requests = map[string]string{"stall": "body", "flood": "ready", "abandon": "pipelined"}[kind]
 	if !ok {
 		return f, fmt.Errorf("fault %q: unknown kind; kinds are %s", text, strings.Join(FaultKinds(), ", "))
 	}
@@ -244,7 +244,7 @@
 		return nodes.Terminate(fault.Node)
 	case "stop":
 		return nodes.Pause(fault.Node)
-	case "stall", "flood":
+	case "stall", "flood", "abandon":
 		return nodes.SetClientFault(fault, true)
 	case "cut", "lose", "late", "twice", "damage":
 		return nodes.SetLinkFault(fault, true)
@@ -314,7 +314,7 @@
 		return nodes.Start(fault.Node)
 	case "stop":
 		return nodes.Resume(fault.Node)
-	case "stall", "flood":
+	case "stall", "flood", "abandon":
 		return nodes.SetClientFault(fault, false)
 	case "cut", "lose", "late", "twice", "damage":
 		return nodes.SetLinkFault(fault, false)
--- /dev/null
+++ b/internal/rig/standin/leavingclients.go
@@ -0,0 +1,116 @@
+package standin
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"maps"
+	"net"
+	"slices"
+	"strings"
+	"time"
+
+	"curlewring/internal/rig/standin/judge"
+)
+
+const (
+	pipelinedRequests = 2000 // that a leaving client writes behind one another
+	// A leaving client closes its connection this long after its first byte.
+	pipelineLeaveAfter = 30 * time.Millisecond
+	requestLeaveAfter  = 4 * time.Millisecond
+	leaveInterval      = 50 * time.Millisecond // between two connections of a leaving client
+)
+
+// leavingClient is a client that closes its connections before it has all answers.
+type leavingClient struct {
+	*Client
+	class int
+}
+
+// leavingRequests returns what leaving clients may do, by name.
+func leavingRequests() map[string]func(c *leavingClient, ctx context.Context, id string) {
+	return map[string]func(c *leavingClient, ctx context.Context, id string){
+		"pipelined": (*leavingClient).pipelineAndLeave,
+		"again":     (*leavingClient).leaveAndSendAgain,
+	}
+}
+
+// LeaveNames returns the names of what leaving clients may do, in alphabetical order.
+func LeaveNames() []string { return slices.Sorted(maps.Keys(leavingRequests())) }
+
+// StartLeaving starts clients of a node that close their connections before they have all answers.
+func StartLeaving(f *Fleet, node, address string, count int, what string) (*ClientGroup, error) {
+	act, ok := leavingRequests()[what]
+	if !ok {
+		return nil, fmt.Errorf("unknown clients %q; known are %s", what, strings.Join(LeaveNames(), ", "))
+	}
+	wanted := judge.Keyed
+	if what == "pipelined" {
+		wanted = judge.Idempotent
+	}
+	class := slices.IndexFunc(f.Plan.Classes, func(c Class) bool { return c.Idempotency == wanted })
+	if class < 0 {
+		return nil, fmt.Errorf("no class of the plan has such requests")
+	}
+	return startGroup(count, func(ctx context.Context, number int) {
+		c := &leavingClient{NewClient(node, address, &f.Plan, f.Clock, f.Judge), class}
+		repeatEvery(ctx, leaveInterval, func(round int) { act(c, ctx, fmt.Sprintf("leave-%d-%d", number, round)) })
+	}), nil
+}
+
+// request returns a request of the client's class.
+func (c *leavingClient) request(id string) *Request {
+	class := &c.plan.Classes[c.class]
+	return &Request{ID: id, Class: c.class, Path: "/" + class.Name + "/" + id, Key: id, Timeout: class.Deadline, Body: []byte("x")}
+}
+
+// pipelineAndLeave writes many requests on one connection, reads answers, and closes it with most requests unanswered.
+func (c *leavingClient) pipelineAndLeave(ctx context.Context, id string) {
+	requests := make([]*Request, pipelinedRequests)
+	var message []byte
+	for n := range requests {
+		requests[n] = c.request(fmt.Sprintf("%s-%d", id, n))
+		message = append(message, c.encode(requests[n])...)
+	}
+	answered, sent := 0, 0
+	withConn(ctx, c.address, func(conn net.Conn) {
+		for _, r := range requests {
+			c.judge.RequestSent(c.clock.Now(), r.ID, r.Class, c.Node, r.Timeout)
+		}
+		sent = len(requests)
+		conn.SetDeadline(time.Now().Add(pipelineLeaveAfter))
+		var writing ClientGroup
+		writing.running.Go(func() { conn.Write(message) })
+		reader := bufio.NewReader(conn)
+		for ; answered < len(requests); answered++ {
+			response, answeredBy, _, err := readAnswer(reader, requests[answered].ID)
+			if err != nil {
+				break
+			}
+			c.judge.RequestEnded(c.clock.Now(), requests[answered].ID, response.Outcome, answeredBy)
+		}
+		writing.running.Wait()
+	})
+	for _, r := range requests[answered:sent] {
+		c.judge.RequestEnded(c.clock.Now(), r.ID, judge.ClientLeft, "")
+	}
+}
+
+// leaveAndSendAgain sends a request, leaves while a server works on it, and sends the same again.
+func (c *leavingClient) leaveAndSendAgain(ctx context.Context, id string) {
+	r := c.request(id)
+	message := c.encode(r)
+	withConn(ctx, c.address, func(conn net.Conn) {
+		c.judge.RequestSent(c.clock.Now(), r.ID, r.Class, c.Node, r.Timeout)
+		conn.SetDeadline(time.Now().Add(requestLeaveAfter))
+		conn.Write(message)
+		conn.Read(make([]byte, 1))
+	})
+	c.judge.RequestEnded(c.clock.Now(), r.ID, judge.ClientLeft, "")
+	withConn(ctx, c.address, func(conn net.Conn) {
+		conn.SetDeadline(time.Now().Add(r.Timeout))
+		if _, err := conn.Write(message); err == nil {
+			readAnswer(bufio.NewReader(conn), id)
+		}
+	})
+}
