--- a/decide/decide.go
+++ b/decide/decide.go
@@ -176,8 +176,8 @@
 }
 
 // HandleRequest takes a new request: first the front tier decides on admission, then a server is chosen. A
-// request of an unknown class or with no time left fails, one with the id of an open request is ignored, and an
-// unknown tenant counts as none.
+// request of an unknown class or with no time left fails, one with the id of an open request is ignored, and
+// an unknown tenant counts as none.
 func (b *Balancer) HandleRequest(now time.Duration, r Request, out []Action) []Action {
 	b.beginEvent(now, out)
 	if b.calls[r.ID] != nil {
