Keep an X-Txn taken while an attempt is out, and remember those that may have run

Seen by callers: a client left while a server worked on its keyed or unsafe request, sent the same again, and it ran twice, in two racks.

Cause: the X-Txn of a request was free again when its client left or had its answer, though an attempt was still out, or had run.

Change: the table of IDs is a package of its own. An ID is in use until the request is answered and no attempt is out. If the request must not run twice and may have run, a hash of the ID is remembered for the longest deadline or window for repeats of the settings, 10 s at least, in 1/64 of the memory. Such a request is answered 409, which promises nothing.

--- a/internal/node/budgets.go
+++ b/internal/node/budgets.go
@@ -128,8 +128,7 @@
 	if err != nil {
 		b.logFirst(&b.malformed, "ignoring the malformed spent budget of an answer", "err", err)
 	}
-	mayHaveRun := o.Result != decide.Rejected && o.Result != decide.ConnectFailed && o.Result != decide.NotSent
-	rb.account.EndAttempt(spent, mayHaveRun)
+	rb.account.EndAttempt(spent, mayHaveRun(o.Result))
 	rb.retryAdvice = advice
 	below = rb.account.SpentBelow() - before
 	if !advice.RetryUseful() { // another attempt would have the same result
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -59,14 +59,15 @@
 	request         decide.Request
 	deadline        time.Duration // when the client stops waiting
 	token           front.Token   // identifies the client connection to answer on
-	txn             string        // X-Txn header; reserved until the request is answered
+	txn             string        // X-Txn header; reserved until the request is answered and no attempt is out
 	arrivedAt       time.Duration // when the whole request had been read
 	answered        bool
 	finished        atomic.Bool // answered, or its client disconnected: no further attempt is sent
 	attempts        []*attempt
 	openAttempts    int            // attempts in flight
 	budget          *requestBudget // nil: budgets are off
-	mayHaveRun      bool           // an attempt may have been executed; maintained only with budgets
+	mayHaveRun      bool           // an attempt may have been executed
+	txnReleased     bool           // the reservation of txn has ended
 }
 
 // attempt is one try of a request at one server.
@@ -129,10 +130,11 @@
 	budgets           *budgets                      // nil: budgets are off
 	initialRoutes     *routes.Table                 // route table of the configuration at startup
 	respond           func(*pendingRequest, answer) // delivers a final answer; must not block
-	scheduleApplyList func()                        // wakes the job that runs applyQueuedChanges
-	maxListAtOnce     int                           // longer lists are applied in steps
-	onSweep           func()                        // called every sweepInterval to expire old state
-	reportLag         func(now, lag time.Duration)  // reports how long a request waited for the loop
+	releaseTxn        func(*pendingRequest, time.Duration)
+	scheduleApplyList func()                       // wakes the job that runs applyQueuedChanges
+	maxListAtOnce     int                          // longer lists are applied in steps
+	onSweep           func()                       // called every sweepInterval to expire old state
+	reportLag         func(now, lag time.Duration) // reports how long a request waited for the loop
 
 	view         *endpoints.View              // reconciles the lists that discovery sends
 	staleness    *endpoints.StalenessDetector // decides when to refetch the list early
@@ -321,6 +323,7 @@
 	}
 	if p.finished.Load() { // the client left while the request was queued; clientDisconnected follows
 		p.answered = true
+		l.releaseIfDone(p)
 		return
 	}
 	p.request.ID = l.nextID
@@ -342,6 +345,7 @@
 func (l *loop) answerUnopened(p *pendingRequest, status answerStatus, reason string) {
 	l.trace.answeredUnopened(p, status, reason)
 	p.answered = true
+	l.releaseIfDone(p)
 	l.respond(p, answer{answerStatus: status})
 }
 
@@ -372,6 +376,7 @@
 	if l.budgets != nil {
 		a.spent = l.budgets.close(p.budget, a.answerStatus, p.mayHaveRun)
 	}
+	l.releaseIfDone(p) // before its client can send again
 	l.respond(p, a)
 	l.dropIfDone(p)
 }
@@ -388,9 +393,23 @@
 	if p.answered && p.openAttempts == 0 {
 		delete(l.pending, p.request.ID)
 		p.upstreamRequest = nil
+		l.releaseIfDone(p)
 	}
 }
 
+// releaseIfDone ends the reservation of a request's X-Txn if it is answered and has no attempts in flight.
+func (l *loop) releaseIfDone(p *pendingRequest) {
+	if p.answered && p.openAttempts == 0 && !p.txnReleased {
+		p.txnReleased = true
+		l.releaseTxn(p, l.now)
+	}
+}
+
+// mayHaveRun reports whether an attempt with a result may have been executed.
+func mayHaveRun(r decide.Result) bool {
+	return r != decide.Rejected && r != decide.ConnectFailed && r != decide.NotSent
+}
+
 // handleOutcome processes the outcome of an attempt.
 func (l *loop) handleOutcome(e attemptEnded) {
 	l.trace.attemptEnded(&e)
@@ -399,8 +418,8 @@
 	spentBelow := 0
 	if l.budgets != nil {
 		spentBelow = l.budgets.endAttempt(p.budget, &e.Outcome)
-		p.mayHaveRun = p.mayHaveRun || e.Result != decide.Rejected && e.Result != decide.ConnectFailed && e.Result != decide.NotSent
 	}
+	p.mayHaveRun = p.mayHaveRun || mayHaveRun(e.Result)
 	if e.Result == decide.Served {
 		l.finish(p, answer{answerStatus: served, response: e.Response}, decide.NoReason)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -94,7 +94,7 @@
 	n.loop.budgets = newBudgets(c, log)
 	n.handler = newRequestHandler(c, n.clock, n.loop)
 	n.handler.budgets, n.handler.trace = n.loop.budgets, n.loop.trace
-	n.loop.respond = n.handler.respond
+	n.loop.respond, n.loop.releaseTxn = n.handler.respond, n.handler.releaseTxn
 	l, err := listen(c)
 	if err != nil {
 		return nil, fmt.Errorf("listening: %w", err)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -371,7 +371,7 @@
 	WaitFor(t, "the id is free", func() bool {
 		n.handler.mu.Lock()
 		defer n.handler.mu.Unlock()
-		return len(n.handler.openTxns) == 0
+		return n.handler.txns.InUse() == 0
 	})
 	if s.RequestCount() != 1 {
 		t.Errorf("%d attempts", s.RequestCount())
@@ -591,8 +591,8 @@
 		t.Errorf("ended with %v", err)
 	}
 	left := n.front.OpenConns() + n.upstream.OpenConns()
-	if len(n.loop.pending) != 0 || len(n.handler.openTxns) != 0 || left != 0 {
-		t.Errorf("left over: %d requests, %d ids, %d sockets", len(n.loop.pending), len(n.handler.openTxns), left)
+	if len(n.loop.pending) != 0 || n.handler.txns.InUse() != 0 || left != 0 {
+		t.Errorf("left over: %d requests, %d ids, %d sockets", len(n.loop.pending), n.handler.txns.InUse(), left)
 	}
 }
 
--- a/internal/node/request_handler.go
+++ b/internal/node/request_handler.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"hash/maphash"
 	"io"
 	"net/http"
 	"strconv"
@@ -11,6 +12,7 @@
 
 	"curlewring/decide"
 	"curlewring/internal/budget"
+	"curlewring/internal/conns/requestids"
 	"curlewring/internal/node/clock"
 	"curlewring/internal/node/front"
 	"curlewring/internal/node/upstream"
@@ -19,6 +21,10 @@
 const (
 	maxHeaderBytes = 16 << 10
 	maxRemaining   = 10 * time.Minute // larger times in headers are rejected as invalid
+
+	minTxnRetention    = 10 * time.Second // of the X-Txn values of requests that may have run
+	txnMemoryDivisor   = 64               // remembered X-Txn values may use 1/64 of the node's memory
+	rememberedTxnBytes = 40
 )
 
 // requestHandler is the front.Handler of the node. It validates clients' requests, passes them
@@ -35,14 +41,14 @@
 	trace        *trace      // nil: debug logging is off
 	shuttingDown atomic.Bool // shutdown has begun: /ready answers 503
 
-	mu       sync.Mutex
-	openTxns map[string]bool // X-Txn values of the requests that have no answer yet
+	mu   sync.Mutex
+	txns *requestids.Table // X-Txn values
 }
 
 func newRequestHandler(c *Config, clock clock.Clock, loop *loop) *requestHandler {
 	h := &requestHandler{
 		clock: clock, loop: loop, classes: map[string]int{}, tenants: map[string]int{},
-		openTxns: map[string]bool{},
+		txns: requestids.New(txnSettings(c), clock.Now()),
 	}
 	for i, name := range c.Classes {
 		h.classes[name] = i
@@ -55,6 +61,17 @@
 	return h
 }
 
+// txnSettings returns how long, and how many, X-Txn values of requests that may have run are remembered.
+func txnSettings(c *Config) requestids.Settings {
+	retention := minTxnRetention
+	for _, class := range c.Settings.Classes {
+		retention = max(retention, class.Deadline, class.KeyTTL)
+	}
+	return requestids.Settings{
+		Retention: retention, MaxRemembered: c.MemoryMB << 20 / txnMemoryDivisor / rememberedTxnBytes, Seed: maphash.MakeSeed(),
+	}
+}
+
 // singleValueHeaders are the headers that a request must not repeat: node and server might
 // each use another of the values.
 var singleValueHeaders = [...]string{"X-Txn", "X-Lane", "X-Org", "X-Remaining-Ms", "X-Resent", "X-Estimate", "Idempotency-Key"}
@@ -79,8 +96,10 @@
 			p.deadline = min(p.deadline, now+rb.grant.TimeLeft)
 		}
 	}
-	if p != nil && !h.reserveTxn(p.upstreamRequest.Txn) {
-		p, status, problem = nil, http.StatusConflict, "another request with this X-Txn is open"
+	if p != nil {
+		if conflict := h.reserveTxn(now, p.txn); conflict != "" {
+			p, status, problem = nil, http.StatusConflict, conflict
+		}
 	}
 	if p == nil {
 		// The connection is closed: after such an error, what follows on it may be no request
@@ -93,7 +112,7 @@
 		return nil, -1, rejection
 	}
 	if a.Refuse {
-		h.releaseTxn(p.upstreamRequest.Txn)
+		h.releaseTxn(p, now)
 		const reason = "too many connections or too little memory"
 		h.trace.requestRejected(t, p.txn, http.StatusTooManyRequests, reason)
 		return nil, p.request.Class, &front.Response{Status: http.StatusTooManyRequests, Text: reason, Close: true}
@@ -108,32 +127,32 @@
 func (h *requestHandler) ClientGone(handle any) {
 	p := handle.(*pendingRequest)
 	p.finished.Store(true) // at once, before the loop gets to clientDisconnected
-	h.releaseTxn(p.txn)
 	h.loop.post(clientDisconnected{p})
 }
 
-// reserveTxn reserves a request's X-Txn. It returns false if another open request has it:
-// servers use it to tell attempts apart and to drop duplicates, so answers might reach the
-// wrong client.
-func (h *requestHandler) reserveTxn(txn string) bool {
+// reserveTxn reserves a request's X-Txn, or returns why that is not possible. Servers use it to tell attempts apart and
+// to drop duplicates, so with two requests of one X-Txn answers might reach the wrong client, or an effect happen twice.
+func (h *requestHandler) reserveTxn(now time.Duration, txn string) (conflict string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.openTxns[txn] {
-		return false
+	switch h.txns.Reserve(now, txn) {
+	case requestids.InUse:
+		return "another request with this X-Txn is open"
+	case requestids.HasRun:
+		return "a request with this X-Txn may have run"
 	}
-	h.openTxns[txn] = true
-	return true
+	return ""
 }
 
-func (h *requestHandler) releaseTxn(txn string) {
+// releaseTxn ends the reservation of a request's X-Txn, once it has its answer and no attempt is out.
+func (h *requestHandler) releaseTxn(p *pendingRequest, now time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	delete(h.openTxns, txn)
+	h.txns.Release(now, p.txn, p.mayHaveRun && h.idempotency[p.request.Class] != decide.Idempotent)
 }
 
 // respond delivers the final answer to the client's connection. It does not block.
 func (h *requestHandler) respond(p *pendingRequest, a answer) {
-	h.releaseTxn(p.txn)
 	to := front.Response{HeaderName: budget.SpentHeaderName, HeaderValue: a.spent, WriteDeadline: p.deadline + front.WriteGrace}
 	if a.spent == "" {
 		to.HeaderName = ""
--- a/pure_test.go
+++ b/pure_test.go
@@ -15,7 +15,7 @@
 // any other input would make a decision depend on something that no test can control.
 func purePackages() []string {
 	return []string{"decide", "internal/operators/routes", "internal/operators/apps", "internal/operators/document", "internal/budget",
-		"internal/sched/timerwheel", "internal/conns/idleconns", "internal/sched/background", "internal/conns/membudget", "internal/conns/repeats",
+		"internal/sched/timerwheel", "internal/conns/idleconns", "internal/sched/background", "internal/sched/dutycycle", "internal/conns/membudget", "internal/conns/repeats", "internal/conns/requestids",
 		"internal/store", "internal/servers/serverdb", "internal/servers/stalelist", "internal/servers/endpoints", "internal/fleet/membership", "internal/fleet/wire",
 		"internal/fleet/allowance", "internal/fleet/lease", "internal/fleet/consensus", "internal/fleet/protofields", "internal/fleet/raftstore", "internal/fleet/leaselog", "internal/fleet/bootstrap", "internal/fleet/maintenance",
 		"internal/rig/registry",
