Read what arrives while its connection waits for its turn

Change: such an event is noted, and the connection is read in its turn.

Measured: TestBytesArrivingInTheQueueAreRead fails before (0 of 1 open).

--- a/internal/node/front/flooding_test.go
+++ b/internal/node/front/flooding_test.go
@@ -106,3 +106,19 @@
 		t.Errorf("a request of %d fields got %q", maxHeadFields+1, got)
 	}
 }
+
+// Guards against bytes that are never read because they arrive while their connection waits for its turn.
+func TestBytesArrivingInTheQueueAreRead(t *testing.T) {
+	h := newHarness(t, 10, 1<<20)
+	h.immediateCost = time.Millisecond
+	c := h.addClient(strings.Repeat(immediateRequest, 4), "last")
+	if h.immediate == 4 {
+		t.Fatal("no request waits for its turn")
+	}
+	h.net.send(c.id, []byte(post("last")))
+	h.run()
+	h.advance(100 * time.Millisecond)
+	if h.immediate != 4 || len(h.open) != 1 {
+		t.Errorf("%d of 4 requests answered at once, %d of 1 open", h.immediate, len(h.open))
+	}
+}
--- a/internal/node/front/request.go
+++ b/internal/node/front/request.go
@@ -224,6 +224,10 @@
 
 // readConn reads until a complete request has come or there are no more bytes.
 func (s *Server) readConn(i int32, c *conn) {
+	if c.queued {
+		c.readPending = true
+		return
+	}
 	generation := c.generation
 	for reads := 0; s.mayRead(c, generation); reads++ {
 		if reads == maxReadsPerTurn {
