Refuse a request whose client may have left behind what is unread

Seen by callers: a client wrote 2,000 requests on a connection and closed it after 30 ms; its requests went to servers up to 1.9 s later.

Cause: a kernel takes a client's close only behind all its bytes. With the receive buffer full (112 to 129 KB here, whatever the size of the writes), neither epoll nor a read shows that the client has left. It shows with the reset that the next answer causes, and by then the next request is on its way.

Change: where more bytes of a connection are unread, they are looked at before a request is handled. From 16 KiB on it is refused by 429, which is harmless as it was never sent, and the connection closes with it. An event for which there is nothing to read leaves a connection parked; it was closed 2 s later, and the look makes such events where there is no epoll.

TestRequestBeforeMuchUnreadIsNotSentOn is new.

--- a/internal/node/front/flooding_test.go
+++ b/internal/node/front/flooding_test.go
@@ -122,3 +122,24 @@
 		t.Errorf("%d of 4 requests answered at once, %d of 1 open", h.immediate, len(h.open))
 	}
 }
+
+// Guards against requests that are sent on for a client whose close is hidden behind what it has sent.
+func TestRequestBeforeMuchUnreadIsNotSentOn(t *testing.T) {
+	h := newHarness(t, 10, 1<<20)
+	const requests = 1000
+	bodies := make([]string, requests)
+	for n := range bodies {
+		bodies[n] = "body"
+	}
+	c := h.addClient(strings.Repeat(post("body"), requests), bodies...)
+	if len(h.open) > 0 || h.refused != 1 {
+		t.Errorf("%d requests open, %d refused", len(h.open), h.refused)
+	}
+	if got := h.written(c); !strings.HasPrefix(got, "HTTP/1.1 429 ") {
+		t.Errorf("got %q", got)
+	}
+	h.addClient(strings.Repeat(post("body"), 20), bodies[:20]...)
+	if len(h.open) != 1 {
+		t.Error("a client with few requests is refused")
+	}
+}
--- a/internal/node/front/request.go
+++ b/internal/node/front/request.go
@@ -20,8 +20,9 @@
 	minPooled           = 16  // activeStates kept for reuse
 	maxPooled           = 256 // more than these are left to the garbage collector
 	openRequestBytes    = 4 << 10
-	maxPooledBuffer     = 4 << 10 // a larger buffer is not pooled
-	maxSkippedBytes     = 4       // of empty lines after a POST
+	maxPooledBuffer     = 4 << 10  // a larger buffer is not pooled
+	maxSkippedBytes     = 4        // of empty lines after a POST
+	hiddenEndBytes      = 16 << 10 // unread bytes behind which the close of a client may be hidden
 )
 
 // activeState is what a connection needs in addition to its row while it is not parked.
@@ -120,7 +121,9 @@
 			return
 		}
 		s.beginRequest(i, c)
+		generation := c.generation
 		s.readConn(i, c)
+		s.parkIfNothingCame(i, c, generation)
 	case stateReading:
 		if c.active == nil && s.memory.Level() != membudget.Normal {
 			s.readWhileMemoryIsShort(i, c)
@@ -161,6 +164,22 @@
 	return err
 }
 
+// hidesEnd reports whether so many bytes of a connection are unread that the kernel may not have taken the client's close
+// yet, which follows them. A kernel takes several times as many before it stops a client.
+func (s *Server) hidesEnd(c *conn) (bool, error) {
+	if !c.readPending {
+		return false, nil
+	}
+	if s.backlogBuffer == nil {
+		s.backlogBuffer = make([]byte, hiddenEndBytes)
+	}
+	n, err := s.config.Transport.Peek(c.socket, s.backlogBuffer)
+	if errors.Is(err, ErrWouldBlock) {
+		return false, nil
+	}
+	return n == len(s.backlogBuffer), err
+}
+
 // beginRequest ends a connection's idle time, as bytes of its next request have arrived.
 func (s *Server) beginRequest(i int32, c *conn) {
 	c.state = stateReading
@@ -211,8 +230,13 @@
 		c.readPending = false
 		s.readConn(i, c)
 	}
+	s.parkIfNothingCame(i, c, generation)
+}
+
+// parkIfNothingCame parks a connection of a generation if there were no bytes of a next request after all.
+func (s *Server) parkIfNothingCame(i int32, c *conn, generation uint32) {
 	if s.mayRead(c, generation) && !c.readPending && (c.active == nil || len(c.active.buf) == 0 && c.active.request == nil) {
-		s.park(i, c) // there were no bytes after all
+		s.park(i, c)
 	}
 }
 
@@ -381,6 +405,11 @@
 			return
 		}
 	}
+	endHidden, err := s.hidesEnd(c)
+	if err != nil {
+		s.clientGone(i, c)
+		return
+	}
 	s.stats.Requests++
 	active := s.ensureActive(c)
 	active.inRow++
@@ -395,7 +424,7 @@
 	c.closeAfterResponse = r.Close || !r.ProtoAtLeast(1, 1) || c.refuse
 	s.wheel.Cancel(i)
 	c.state = stateOpen
-	how := Arrival{Refuse: c.refuse}
+	how := Arrival{Refuse: c.refuse, EndHidden: endHidden}
 	if active.deferredAt > 0 {
 		how.Waited, active.deferredAt = s.now-active.deferredAt, 0
 	}
--- a/internal/node/front/server.go
+++ b/internal/node/front/server.go
@@ -58,7 +58,10 @@
 	// Refuse is set if the request has to be refused because the server is short of connections or
 	// memory. Its body may not have been read.
 	Refuse bool
-	Waited time.Duration // how long the request waited for memory before it was read
+	// EndHidden is set if so many bytes are unread behind the request that the client may have closed the connection
+	// unnoticed. The request must not be sent on.
+	EndHidden bool
+	Waited    time.Duration // how long the request waited for memory before it was read
 }
 
 // Config configures a Server.
@@ -104,6 +107,7 @@
 	parser            headParser
 	dueTimers         []int32
 	peekBuffer        [1]byte
+	backlogBuffer     []byte             // for hidesEnd
 	expired           tokenQueue         // tokens of parked connections whose idle time is over
 	runnable          tokenQueue         // connections with unprocessed bytes, served in turn
 	pipelining        *dutycycle.Limiter // spaces the rounds in which they are served
--- a/internal/node/front/simulation_test.go
+++ b/internal/node/front/simulation_test.go
@@ -90,7 +90,7 @@
 	}
 	client.delivered++
 	h.waits = append(h.waits, a.Waited)
-	if a.Refuse {
+	if a.Refuse || a.EndHidden {
 		h.refused++
 		return nil, 0, &Response{Status: http.StatusTooManyRequests, Text: "crowded", Close: true}
 	}
@@ -307,6 +307,7 @@
 			memoryBytes = 12 << 10 // memory is short most of the time
 		}
 		h := newHarness(t, 2+int(seed%16), memoryBytes)
+		h.immediateCost = time.Duration(seed%3) * time.Millisecond
 		h.play(script(seed))
 		h.finish()
 		requests, gone = requests+h.answers, gone+h.gone
--- a/internal/node/request_handler.go
+++ b/internal/node/request_handler.go
@@ -111,9 +111,8 @@
 		}
 		return nil, -1, rejection
 	}
-	if a.Refuse {
+	if reason := refusalReason(a); reason != "" {
 		h.releaseTxn(p, now)
-		const reason = "too many connections or too little memory"
 		h.trace.requestRejected(t, p.txn, http.StatusTooManyRequests, reason)
 		return nil, p.request.Class, &front.Response{Status: http.StatusTooManyRequests, Text: reason, Close: true}
 	}
@@ -122,6 +121,17 @@
 	return p, p.request.Class, nil
 }
 
+// refusalReason returns why a request is refused by the way in which it arrived, or "" if it is not.
+func refusalReason(a front.Arrival) string {
+	switch {
+	case a.Refuse:
+		return "too many connections or too little memory"
+	case a.EndHidden:
+		return "too much has arrived behind the request"
+	}
+	return ""
+}
+
 // ClientGone abandons the request of a client that has disconnected. It implements
 // front.Handler.
 func (h *requestHandler) ClientGone(handle any) {
