Do not repeat keyed requests of a process that may not be the listed one

Cause: the cell of an attempt is the listed one of its server, also where refused connections show that the listed process has ended.

Change: a refused connection makes the zone and cell of what answers at that server unknown, as where two are listed at one address: until a response comes over a connection that is older, discovery lists a new start, or the process that answers has been running for 9.5 s, after which a start counts as listed. 9.5 s are the 6 s and 3.5 s of unconfirmed.go; where discovery is later, the listed cell is believed too early. A process that ends and is replaced with no connection in between is not noticed.

--- a/decide/api.go
+++ b/decide/api.go
@@ -250,10 +250,11 @@
 	Elapsed time.Duration // since the attempt was sent
 	ConnAge time.Duration // age of the connection that carried the response; 0: unknown
 	// DialTime is the part of Elapsed until a new connection was established, if a response came on one.
-	DialTime   time.Duration
-	Final      bool // the request is finished
-	ConnClosed bool // the connection can't be used again
-	Spent      int  // extra attempts of the request's budget that the tiers below made for this one
+	DialTime    time.Duration
+	ConnRefused bool // with ConnectFailed: nobody listened at the server's address
+	Final       bool // the request is finished
+	ConnClosed  bool // the connection can't be used again
+	Spent       int  // extra attempts of the request's budget that the tiers below made for this one
 }
 
 // ProbeResult reports the end of one probe.
--- a/decide/choice.go
+++ b/decide/choice.go
@@ -234,11 +234,12 @@
 	if !c.mayHaveRun || b.cfg.Classes[c.Class].Idempotency != Keyed {
 		return true
 	}
+	known := !s.mayBeSuccessor(b.now) && b.keyGroupKnown(c)
 	switch b.cfg.Classes[c.Class].Group {
 	case GroupZone:
-		return s.Zone == c.mayHaveRunOn.Zone && !s.ZoneUnknown && b.keyGroupKnown(c)
+		return s.Zone == c.mayHaveRunOn.Zone && !s.ZoneUnknown && known
 	case GroupCell:
-		return s.Cell == c.mayHaveRunOn.Cell && !s.CellUnknown && b.keyGroupKnown(c)
+		return s.Cell == c.mayHaveRunOn.Cell && !s.CellUnknown && known
 	}
 	return true
 }
@@ -246,6 +247,9 @@
 // keyGroupKnown reports whether it is known which servers drop repeats of a keyed call that may have run.
 func (b *Balancer) keyGroupKnown(c *call) bool {
 	s, sentAt := c.mayHaveRunOn, c.mayHaveRunAt
+	if s.mayBeSuccessor(sentAt) {
+		return b.cfg.Classes[c.Class].Group == GroupAll
+	}
 	switch b.cfg.Classes[c.Class].Group {
 	case GroupZone:
 		return !s.ZoneUnknown && (s.zoneUnknownUntil == 0 || sentAt > s.zoneUnknownUntil)
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -260,6 +260,7 @@
 		s.zone.inflight = max(0, s.zone.inflight-1)
 		b.updateHealth(s, o.Result)
 		s.recordOutcome(now, &o)
+		s.recordSuccessor(now, &o)
 		s.zone.recordResult(now, o.Result)
 		if s.Health == Removed && s.inflight == 0 {
 			delete(b.servers, o.Server)
--- a/decide/members.go
+++ b/decide/members.go
@@ -78,6 +78,7 @@
 	}
 	if e.Started > s.Started { // a new process does not inherit the old one's failures
 		s.recordSuccess()
+		s.endSuspicion(b.now)
 		s.idleConns, s.uptime = nil, timeSpan{}
 		s.extraSlowness, s.tokens, s.refilledAt, s.grantState = 0, b.rng.Float64(), b.now, grantState{}
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -51,6 +51,7 @@
 	uptime timeSpan // in which the same process is known to have been running
 	// What was sent until these times may have run in another zone or cell; 0: nothing.
 	zoneUnknownUntil, cellUnknownUntil time.Duration
+	successor                          successorSuspicion
 	idleConns                          []time.Duration // when each idle connection became idle; the last one that has settled is used first
 	inFullList                         bool            // named by the full list that is being applied
 	listed                             bool            // among localServers or remoteServers
--- a/internal/node/addresses_test.go
+++ b/internal/node/addresses_test.go
@@ -119,3 +119,28 @@
 		}
 	}
 }
+
+// Guards against a keyed request that runs in two cells: the process at an address has ended, and what answers there is
+// another one that discovery has not listed yet.
+func TestKeyedRequestRunsOnceWhereAnUnlistedProcessAnswers(t *testing.T) {
+	t.Parallel()
+	fail := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }
+	peer := NewServer(t, fail)
+	address := DeadAddress(t)
+	n := startNode(t, testConfig(t, DeadAddress(t), listOf(1, true,
+		cellEntry("old", address, 1, "SERVING", 0), cellEntry("peer", peer.Addr(), 1, "SERVING", 0)), 1024))
+	for range 10 { // some of them find out that nobody listens
+		exchange(t, request(t, n.url, "/note/1", "x"))
+	}
+	next := NewServerAt(t, address, fail)
+	WaitFor(t, "the next process gets a request", func() bool {
+		exchange(t, request(t, n.url, "/note/1", "x"))
+		return next.RequestCount() > 3
+	})
+	atPeer := transactions(peer)
+	for id := range transactions(next) {
+		if atPeer[id] {
+			t.Errorf("request %s went to the listed cell of the old process as well", id)
+		}
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -427,7 +427,7 @@
 	l.dropIfDone(p)
 	l.execute(l.balancer.HandleOutcome(l.now, decide.Outcome{
 		Request: p.request.ID, Attempt: e.number, Server: e.server, Result: e.Result,
-		Elapsed: e.elapsed, ConnAge: e.ConnAge, DialTime: e.DialTime, Final: final, ConnClosed: e.ConnClosed, Spent: spentBelow,
+		Elapsed: e.elapsed, ConnAge: e.ConnAge, DialTime: e.DialTime, ConnRefused: e.ConnRefused, Final: final, ConnClosed: e.ConnClosed, Spent: spentBelow,
 	}, l.actions[:0]))
 	l.recordResult(e.server, e.Result, e.elapsed-e.DialTime)
 }
--- a/internal/node/nodetest/nodetest.go
+++ b/internal/node/nodetest/nodetest.go
@@ -45,6 +45,16 @@
 // NewServer starts a server until the end of the test.
 func NewServer(t *testing.T, handler http.HandlerFunc) *Server {
 	t.Helper()
+	return NewServerAt(t, "127.0.0.1:0", handler)
+}
+
+// NewServerAt is NewServer at an address.
+func NewServerAt(t *testing.T, address string, handler http.HandlerFunc) *Server {
+	t.Helper()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
 	s := &Server{}
 	s.Server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
@@ -53,6 +63,8 @@
 		s.Mu.Unlock()
 		handler(w, r)
 	}))
+	s.Listener.Close()
+	s.Listener = listener
 	s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
 		s.Mu.Lock()
 		defer s.Mu.Unlock()
--- a/internal/node/upstream/exchange.go
+++ b/internal/node/upstream/exchange.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"curlewring/decide"
@@ -24,7 +25,7 @@
 		if canceler.isCanceled() {
 			return Outcome{Result: decide.NotSent, ConnClosed: true, Err: err}
 		}
-		return Outcome{Result: decide.ConnectFailed, ConnClosed: true, Err: err}
+		return Outcome{Result: decide.ConnectFailed, ConnClosed: true, ConnRefused: errors.Is(err, syscall.ECONNREFUSED), Err: err}
 	}
 	idleTime := time.Duration(0)
 	if c.responses > 0 {
--- a/internal/node/upstream/pool.go
+++ b/internal/node/upstream/pool.go
@@ -48,6 +48,7 @@
 	ConnClosed  bool          // the connection is not kept
 	SpentBudget []string      // values of the response header that reports budget spent
 	ConnAge     time.Duration // age of the connection that was used
+	ConnRefused bool          // nobody listened at the server's address
 	DialTime    time.Duration // time to open a new connection; 0: an idle one was used
 	ConnNumber  uint64        // the connection that was used, counted from 1; 0: none
 	IdleTime    time.Duration // how long that connection had been idle; 0: it was new
