Take a server's answer with very many header fields for spoilt

Change: more than 128 fields in what fits into the reader's 4 KiB make the answer malformed before it is parsed. A head of long fields is bounded by its bytes, as before.

Measured: the new row of TestMalformedResponses, 1,000 fields of 4 bytes, was served before and is malformed now.

--- a/internal/node/upstream/response.go
+++ b/internal/node/upstream/response.go
@@ -80,8 +80,13 @@
 // former.
 var errTwoLengths = errors.New("the response has both Content-Length and Transfer-Encoding")
 
+// maxResponseFields limits the header fields of a response: a parsed field takes many times the bytes of a short one.
+const maxResponseFields = 128
+
+var errTooManyFields = fmt.Errorf("the response has more than %d header fields", maxResponseFields)
+
 // checkFraming waits for the headers of a response and returns an error if they tell its length in
-// two ways. It leaves to net/http what is longer than the reader's buffer or otherwise malformed.
+// two ways or are too many. It leaves to net/http what is longer than the reader's buffer or otherwise malformed.
 func (c *conn) checkFraming() error {
 	for n := 1; n <= c.reader.Size(); n = c.reader.Buffered() + 1 {
 		if _, err := c.reader.Peek(n); err != nil {
@@ -89,10 +94,17 @@
 		}
 		text, _ := c.reader.Peek(c.reader.Buffered())
 		end := headEnd(text)
+		head := text
+		if end >= 0 {
+			head = text[:end]
+		}
+		if bytes.Count(head, []byte{'\n'}) > maxResponseFields {
+			return errTooManyFields
+		}
 		if end < 0 {
 			continue
 		}
-		head := bytes.ToLower(text[:end])
+		head = bytes.ToLower(head)
 		if bytes.Contains(head, []byte("\ncontent-length:")) && bytes.Contains(head, []byte("\ntransfer-encoding:")) {
 			return errTwoLengths
 		}
--- a/internal/node/upstream/response_test.go
+++ b/internal/node/upstream/response_test.go
@@ -32,6 +32,7 @@
 		"malformed chunks":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nfine\r\n",
 		"body too large":      "HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n" + strings.Repeat("x", 65537),
 		"protocol switch":     "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n",
+		"many short fields":   "HTTP/1.1 200 OK\r\n" + strings.Repeat("a:\r\n", 1000) + "Content-Length: 4\r\n\r\nfine",
 		"head too large":      "HTTP/1.1 200 OK\r\nX-Long: " + strings.Repeat("x", 2*maxResponseSize),
 	} {
 		t.Run(name, func(t *testing.T) {
