--- a/internal/rig/standin/leavingclients.go
+++ b/internal/rig/standin/leavingclients.go
@@ -99,13 +99,17 @@
 // leaveAndSendAgain sends a request, leaves while a server works on it, and sends the same again.
 func (c *leavingClient) leaveAndSendAgain(ctx context.Context, id string) {
 	r := c.request(id)
-	message := c.encode(r)
+	message, sent := c.encode(r), false
 	withConn(ctx, c.address, func(conn net.Conn) {
 		c.judge.RequestSent(c.clock.Now(), r.ID, r.Class, c.Node, r.Timeout)
+		sent = true
 		conn.SetDeadline(time.Now().Add(requestLeaveAfter))
 		conn.Write(message)
 		conn.Read(make([]byte, 1))
 	})
+	if !sent {
+		return
+	}
 	c.judge.RequestEnded(c.clock.Now(), r.ID, judge.ClientLeft, "")
 	withConn(ctx, c.address, func(conn net.Conn) {
 		conn.SetDeadline(time.Now().Add(r.Timeout))
