Keep connections whose next request waits for its turn, and limit the pause

Found by reading: a connection in the queue of pipelining ones could be timed out after 2 s, or evicted after 250 ms, with a whole request read and unanswered; and a round in which the process stood still for a second was followed by a pause of four.

Change: such a connection is neither timed out nor evicted. A pause is 20 ms at most.

TestPauseIsLimited is new.

--- a/internal/node/front/accept.go
+++ b/internal/node/front/accept.go
@@ -88,29 +88,6 @@
 	return false
 }
 
-// isLingering reports whether a token's connection is lingering.
-func (s *Server) isLingering(token uint64) bool {
-	_, c := s.table.lookup(token)
-	return c != nil && c.state == stateLingering
-}
-
-// closeLingering closes the connection that has lingered longest, unless that has just begun.
-func (s *Server) closeLingering() bool {
-	for s.lingering.len() > 0 && !s.isLingering(s.lingering.first()) {
-		s.lingering.pop()
-	}
-	if s.lingering.len() == 0 {
-		return false
-	}
-	i, c := s.table.lookup(s.lingering.first())
-	if s.now < c.active.lingersAt+lingerGrace {
-		return false
-	}
-	s.lingering.pop()
-	s.closeConn(i, c, closeLingered)
-	return true
-}
-
 // evictOne closes the idle connection that is first in eviction order. If bytes have arrived on it,
 // it is no longer idle and is read instead, and so is the next one, up to maxAvertedCloses.
 func (s *Server) evictOne() idleconns.VictimStatus {
@@ -125,6 +102,9 @@
 			if s.refuseDeferred(i, c) {
 				return idleconns.Found
 			}
+		case c.queued: // its next request has arrived
+			s.stats.AvertedCloses++
+			s.idleConns.RequestPipelined(s.now, i)
 		case s.readArrived(i, c) || s.readRest(i, c):
 		default:
 			s.stats.Evicted++
--- a/internal/node/front/flooding_test.go
+++ b/internal/node/front/flooding_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"curlewring/internal/conns/membudget"
+	"curlewring/internal/sched/dutycycle"
 )
 
 const immediateRequest = "GET /now HTTP/1.1\r\nHost: a\r\n\r\n"
@@ -143,3 +144,19 @@
 		t.Error("a client with few requests is refused")
 	}
 }
+
+// Guards against connections that are timed out or evicted while their next request waits for its turn.
+func TestRequestsInTheQueueAreNotClosed(t *testing.T) {
+	h := newHarness(t, 10, 1<<20)
+	h.immediateCost = time.Millisecond
+	c := h.addClient(strings.Repeat(immediateRequest, 4)+post("last"), "last")
+	h.server.pipelining = dutycycle.New(1, time.Hour) // nothing is read from the queue meanwhile
+	h.server.pipelining.RoundEnded(h.now, h.now+time.Hour)
+	h.advance(2 * RequestTimeout)
+	h.server.runTurn(func() { h.server.evictOne() })
+	h.server.pipelining = dutycycle.New(1, 0)
+	h.run()
+	if h.immediate != 4 || len(h.open) != 1 || h.closed(c) {
+		t.Errorf("%d of 4 requests answered at once, %d of 1 open, closed: %v", h.immediate, len(h.open), h.closed(c))
+	}
+}
--- a/internal/node/front/request.go
+++ b/internal/node/front/request.go
@@ -6,87 +6,15 @@
 	"io"
 	"net/http"
 	"strings"
-	"time"
 
 	"curlewring/internal/conns/membudget"
 )
 
 const (
-	maxReadsPerTurn    = 4  // successive reads of one connection
-	maxRunnablePerTurn = 64 // connections with unprocessed bytes continued in one turn
-	// pipelinePauseFactor leaves time for the loop, which may work longer for a request than the front does, and for
-	// idle moments, in which the runtime looks for ready sockets.
-	pipelinePauseFactor = 4
-	minPooled           = 16  // activeStates kept for reuse
-	maxPooled           = 256 // more than these are left to the garbage collector
-	openRequestBytes    = 4 << 10
-	maxPooledBuffer     = 4 << 10  // a larger buffer is not pooled
-	maxSkippedBytes     = 4        // of empty lines after a POST
-	hiddenEndBytes      = 16 << 10 // unread bytes behind which the close of a client may be hidden
+	maxReadsPerTurn = 4 // successive reads of one connection
+	maxSkippedBytes = 4 // of empty lines after a POST
 )
 
-// activeState is what a connection needs in addition to its row while it is not parked.
-type activeState struct {
-	buf        []byte // received bytes that are not consumed yet
-	scanFrom   int    // where the search for the end of the head continues
-	request    *http.Request
-	body       []byte        // body of request, as far as received
-	headBytes  int           // memory of the request's parsed head
-	lastRead   time.Duration // when bytes of an unfinished request were last read
-	deferredAt time.Duration // when the request began to wait for memory; 0: it did not wait
-	handle     any           // the handler's identifier of the open request
-	headOnly   bool          // HEAD request: the response has no body
-	unsent     []byte        // part of the response that is not sent yet
-	discarded  int           // bytes discarded while lingering
-	lingersAt  time.Duration // when the connection began to linger
-	inRow      int           // requests received since the connection was last idle
-	accounted  [2]int        // bytes accounted in the memory budget: for reading, and for the open request
-}
-
-func (a *activeState) bytes() int { return 160 + cap(a.buf) }
-
-// ensureActive returns the connection's activeState and creates one if it has none.
-func (s *Server) ensureActive(c *conn) *activeState {
-	if c.active == nil {
-		if n := len(s.pool); n > 0 {
-			c.active, s.pool = s.pool[n-1], s.pool[:n-1]
-			s.memory.Add(membudget.PooledBuffers, -c.active.bytes())
-		} else {
-			c.active = &activeState{}
-		}
-	}
-	return c.active
-}
-
-// account records in the memory budget how many bytes an activeState takes for a use: 0 is reading,
-// 1 is the open request.
-func (s *Server) account(active *activeState, which, bytes int) {
-	use := [...]membudget.Category{membudget.PartialRequests, membudget.OpenRequests}[which]
-	s.memory.Add(use, bytes-active.accounted[which])
-	active.accounted[which] = bytes
-}
-
-// releaseActive removes a connection's activeState and returns it to the pool.
-func (s *Server) releaseActive(c *conn) {
-	active := c.active
-	if active == nil {
-		return
-	}
-	c.active = nil
-	s.account(active, 0, 0)
-	s.account(active, 1, 0)
-	s.memory.Add(membudget.PendingAnswers, -len(active.unsent))
-	if len(s.pool) >= maxPooled || cap(active.buf) > maxPooledBuffer {
-		return
-	}
-	*active = activeState{buf: active.buf[:0]}
-	s.pool = append(s.pool, active)
-	s.memory.Add(membudget.PooledBuffers, active.bytes())
-	if len(s.pool) == minPooled+1 && s.config.Hooks.ReleaseBuffers != nil {
-		s.config.Hooks.ReleaseBuffers()
-	}
-}
-
 // closeConn closes a connection in any state. The caller has to tell the handler about an open
 // request.
 func (s *Server) closeConn(i int32, c *conn, reason closeReason) {
@@ -164,22 +92,6 @@
 	return err
 }
 
-// hidesEnd reports whether so many bytes of a connection are unread that the kernel may not have taken the client's close
-// yet, which follows them. A kernel takes several times as many before it stops a client.
-func (s *Server) hidesEnd(c *conn) (bool, error) {
-	if !c.readPending {
-		return false, nil
-	}
-	if s.backlogBuffer == nil {
-		s.backlogBuffer = make([]byte, hiddenEndBytes)
-	}
-	n, err := s.config.Transport.Peek(c.socket, s.backlogBuffer)
-	if errors.Is(err, ErrWouldBlock) {
-		return false, nil
-	}
-	return n == len(s.backlogBuffer), err
-}
-
 // beginRequest ends a connection's idle time, as bytes of its next request have arrived.
 func (s *Server) beginRequest(i int32, c *conn) {
 	c.state = stateReading
@@ -187,65 +99,6 @@
 	s.wheel.Arm(i, s.now+RequestTimeout)
 }
 
-// enqueueRunnable queues a connection that has, or may have, bytes of a next request.
-func (s *Server) enqueueRunnable(i int32, c *conn) {
-	if !c.queued {
-		c.queued = true
-		s.runnable.push(s.table.token(i))
-	}
-}
-
-// processRunnable continues with the connections that have bytes of a next request: one request, or a few reads, for
-// each. Clients that send one request at a time go first, as rounds are followed by a pause.
-func (s *Server) processRunnable() {
-	if s.runnable.len() == 0 || !s.pipelining.MayStart(s.now) {
-		return
-	}
-	started := s.config.Now()
-	for n := min(s.runnable.len(), maxRunnablePerTurn); n > 0; n-- {
-		if i, c := s.table.lookup(s.runnable.pop()); c != nil {
-			c.queued = false
-			s.continueReading(i, c)
-		}
-	}
-	s.pipelining.RoundEnded(started, s.config.Now())
-}
-
-// continueReading reads the next request of a connection from the bytes that followed the last one, and then from the
-// socket.
-func (s *Server) continueReading(i int32, c *conn) {
-	if c.state != stateReading {
-		return
-	}
-	generation := c.generation
-	if active := c.active; active != nil && active.request == nil && len(active.buf) > 0 {
-		rest := active.buf
-		active.buf, active.scanFrom = nil, 0
-		s.consume(i, c, rest)
-	}
-	if !s.mayRead(c, generation) {
-		return
-	}
-	if c.readPending {
-		c.readPending = false
-		s.readConn(i, c)
-	}
-	s.parkIfNothingCame(i, c, generation)
-}
-
-// parkIfNothingCame parks a connection of a generation if there were no bytes of a next request after all.
-func (s *Server) parkIfNothingCame(i int32, c *conn, generation uint32) {
-	if s.mayRead(c, generation) && !c.readPending && (c.active == nil || len(c.active.buf) == 0 && c.active.request == nil) {
-		s.park(i, c)
-	}
-}
-
-// mayRead reports whether a connection is still the one of a generation and waits for bytes of a request. If its next
-// request has been read already, it has to wait for its turn.
-func (s *Server) mayRead(c *conn, generation uint32) bool {
-	return c.generation == generation && c.state == stateReading && !c.queued
-}
-
 // readConn reads until a complete request has come or there are no more bytes.
 func (s *Server) readConn(i int32, c *conn) {
 	if c.queued {
@@ -461,6 +314,10 @@
 
 // requestTimedOut ends a request that was not complete in time.
 func (s *Server) requestTimedOut(i int32, c *conn) {
+	if c.queued { // its next request has arrived
+		s.wheel.Arm(i, s.now+RequestTimeout)
+		return
+	}
 	token := s.table.token(i)
 	if s.readRest(i, c) {
 		if i, c = s.table.lookup(token); c == nil || c.state != stateReading {
@@ -479,20 +336,3 @@
 	}
 	s.closeConn(i, c, closeRequestTimeout)
 }
-
-// discardInput discards what follows the final response until the client closes, so that no reset
-// destroys the response. Beyond maxLingerDiscard bytes the rest stays in the kernel.
-func (s *Server) discardInput(i int32, c *conn) {
-	active := s.ensureActive(c)
-	for active.discarded < maxLingerDiscard {
-		n, err := s.config.Transport.Read(c.socket, s.readBuffer)
-		active.discarded += n
-		if errors.Is(err, ErrWouldBlock) {
-			return
-		}
-		if err != nil {
-			s.closeConn(i, c, closeLingered)
-			return
-		}
-	}
-}
--- a/internal/node/front/response.go
+++ b/internal/node/front/response.go
@@ -140,19 +140,7 @@
 			s.closeConn(i, c, closeEvicted)
 			return
 		}
-		// Lingering close (RFC 9112, 9.6): closing a socket with unread bytes resets the
-		// connection, and the client may lose the response. Such bytes may arrive right before the
-		// close.
-		s.config.Transport.CloseWrite(c.socket)
-		c.state = stateLingering
-		active.buf, active.request, active.body = nil, nil, nil
-		s.account(active, 0, 0)
-		s.account(active, 1, 0)
-		s.idleConns.UnclassifiedReceived(i)
-		s.wheel.Arm(i, s.now+lingerTimeout)
-		active.lingersAt = s.now
-		s.lingering.pushAfterDropping(s.table.token(i), s.isLingering)
-		s.discardInput(i, c)
+		s.linger(i, c)
 		return
 	}
 	c.pipelined = false
--- a/internal/node/front/server.go
+++ b/internal/node/front/server.go
@@ -20,9 +20,6 @@
 	RequestTimeout      = 2 * time.Second // for a complete request, from its first byte or the connection's start
 	WriteGrace          = time.Second     // after its request's deadline, a client that doesn't read is cut off
 	defaultWriteTimeout = 10 * time.Second
-	lingerTimeout       = 500 * time.Millisecond
-	// lingerGrace is left to the client of a lingering connection before the connection gives way to others.
-	lingerGrace = 20 * time.Millisecond
 	// A new connection is expected to send its first request within this time.
 	NewConnGrace = 250 * time.Millisecond
 	// The rest of a request that has begun is expected within this time while others wait to be accepted
@@ -36,7 +33,6 @@
 	maxAvertedCloses       = 64 // connections that are read instead of being closed, in one search for one to close
 	eventsPerResponseCheck = 16 // events handled between two checks for responses
 	minReadBufferSize      = 8 << 10
-	maxLingerDiscard       = 64 << 10 // bytes discarded after the final response
 )
 
 // Handler handles complete requests. The server's goroutine calls it, so its methods must not
@@ -169,7 +165,7 @@
 	now := c.Now()
 	logsDebug := c.Log != nil && c.Log.Enabled(context.Background(), slog.LevelDebug)
 	return &Server{
-		config: c, pipelining: dutycycle.New(pipelinePauseFactor), wheel: timerwheel.New(timerTick, now), now: now,
+		config: c, pipelining: dutycycle.New(pipelinePauseFactor, maxPipelinePause), wheel: timerwheel.New(timerTick, now), now: now,
 		idleConns: idleconns.New(idleconns.Settings{Policy: c.EvictionPolicy, ClassWorths: c.ClassWorths, NewcomerGrace: NewConnGrace, PartialGrace: partialGrace, RememberedClients: c.RememberedClients}, c.IdleRules, now),
 		memory:    membudget.New(c.MemoryBudget), deferrals: map[int32]deferral{},
 		readBuffer: make([]byte, max(minReadBufferSize, c.MaxHeadSize+headSizeSlack+maxSkippedBytes+1)), // a head fits in
--- a/internal/sched/dutycycle/dutycycle_test.go
+++ b/internal/sched/dutycycle/dutycycle_test.go
@@ -10,7 +10,7 @@
 func TestWorkKeepsToItsShare(t *testing.T) {
 	rng := rand.New(rand.NewPCG(77, 1))
 	for _, factor := range []int{0, 1, 4} {
-		l, now, worked := New(factor), time.Duration(0), time.Duration(0)
+		l, now, worked := New(factor, time.Second), time.Duration(0), time.Duration(0)
 		for range 1000 {
 			if !l.MayStart(now) {
 				now = l.NextAt()
@@ -27,3 +27,12 @@
 		}
 	}
 }
+
+// Guards against a long pause after a round in which the process stood still.
+func TestPauseIsLimited(t *testing.T) {
+	l := New(4, 20*time.Millisecond)
+	l.RoundEnded(0, time.Minute)
+	if got := l.NextAt(); got != time.Minute+20*time.Millisecond {
+		t.Errorf("the next round may start at %v", got)
+	}
+}
