Refuse requests before much unread one by one, and keep their connection

Need: closed the connection of a client with 16 KiB unread behind a request. What had been read of its next requests then got no answer, which loses them where the client is still there ("clients send many commands at once").

Change: only such requests are refused, each by its own 429, until less than 32 KiB are unread, behind which a close shows; the rest is served. A kernel that takes 64 KiB stops a client from a half of that on.

--- a/internal/node/front/pipelining.go
+++ b/internal/node/front/pipelining.go
@@ -14,7 +14,7 @@
 	// idle moments, in which the runtime looks for ready sockets.
 	pipelinePauseFactor = 4
 	maxPipelinePause    = 20 * time.Millisecond
-	hiddenEndBytes      = 16 << 10 // unread bytes behind which the close of a client may be hidden
+	hiddenEndBytes      = 32 << 10 // unread bytes behind which the close of a client may be hidden
 )
 
 // enqueueRunnable queues a connection that has, or may have, bytes of a next request.
--- a/internal/node/request_handler.go
+++ b/internal/node/request_handler.go
@@ -114,7 +114,7 @@
 	if reason := refusalReason(a); reason != "" {
 		h.releaseTxn(p, now)
 		h.trace.requestRejected(t, p.txn, http.StatusTooManyRequests, reason)
-		return nil, p.request.Class, &front.Response{Status: http.StatusTooManyRequests, Text: reason, Close: true}
+		return nil, p.request.Class, &front.Response{Status: http.StatusTooManyRequests, Text: reason, Close: a.Refuse}
 	}
 	p.token, p.arrivedAt = t, now
 	h.loop.post(requestArrived{p})
