Count only answers as late whose request had time when it arrived

Need: the new warning about slow turns also counted answers to requests that arrive with no time left, so that a client that sends them makes a node warn that is not slow.

Change: the front is told the client's deadline only if the request had more than the node's margin.

--- a/internal/node/front/response.go
+++ b/internal/node/front/response.go
@@ -19,6 +19,7 @@
 	HeaderName    string        // name of an additional header; "": none
 	HeaderValue   string        // must be a valid header value, as it is written unchecked
 	Close         bool          // close the connection after the response
+	Deadline      time.Duration // when the client stops waiting; 0: unknown, or it had no time when its request arrived
 	WriteDeadline time.Duration // time by which the client must have read the response; 0: after defaultWriteTimeout
 }
 
@@ -73,7 +74,7 @@
 // sendResponse sends as much of a response as the client accepts now.
 func (s *Server) sendResponse(i int32, c *conn, r *Response) {
 	s.stats.Responses++
-	if r.WriteDeadline > 0 && s.now > r.WriteDeadline-WriteGrace {
+	if r.Deadline > 0 && s.now > r.Deadline {
 		s.monitor.current.late++
 	}
 	active := c.active
--- a/internal/node/request_handler.go
+++ b/internal/node/request_handler.go
@@ -167,6 +167,9 @@
 	if a.spent == "" {
 		to.HeaderName = ""
 	}
+	if p.deadline > p.arrivedAt+answerMargin {
+		to.Deadline = p.deadline
+	}
 	switch a.answerStatus {
 	case served:
 		to.Status, to.ContentType, to.Body = http.StatusOK, a.response.ContentType, a.response.Body
