--- a/internal/rig/standin/clientgroup.go
+++ b/internal/rig/standin/clientgroup.go
@@ -59,16 +59,27 @@
 	use(conn)
 }
 
+// clientFault is a kind of fault that starts clients of a node.
+type clientFault struct {
+	start    func(f *Fleet, node, address string, count int, requests string) (*ClientGroup, error)
+	requests []string // what its clients may do
+	usual    string   // what they do if the fault does not say
+}
+
+// clientFaults returns the faults that start clients, by their kind.
+func clientFaults() map[string]clientFault {
+	return map[string]clientFault{
+		"stall":   {startStalling, StallNames(), "body"},
+		"flood":   {startFlooding, FloodNames(), "ready"},
+		"abandon": {startLeaving, LeaveNames(), "pipelined"},
+	}
+}
+
 // StartClientGroup starts the clients of a fault that disturb a node.
 func (f *Fleet) StartClientGroup(fault *Fault, node, address string) (*ClientGroup, error) {
-	count := int(fault.Magnitude)
-	switch fault.Kind {
-	case "stall":
-		return StartStalling(&f.Plan, address, count, fault.Requests)
-	case "flood":
-		return StartFlooding(&f.Plan, address, count, fault.Requests)
-	case "abandon":
-		return StartLeaving(f, node, address, count, fault.Requests)
+	kind, ok := clientFaults()[fault.Kind]
+	if !ok {
+		return nil, fmt.Errorf("fault %s starts no clients", fault.Kind)
 	}
-	return nil, fmt.Errorf("fault %s starts no clients", fault.Kind)
+	return kind.start(f, node, address, int(fault.Magnitude), fault.Requests)
 }
--- a/internal/rig/standin/fault.go
+++ b/internal/rig/standin/fault.go
@@ -49,82 +49,6 @@
 	return all
 }
 
-// ParseFault parses a fault such as slow:box=2,at=3s,for=5s,by=8.
-func ParseFault(text string) (Fault, error) {
-	kind, rest, _ := strings.Cut(text, ":")
-	f := Fault{Kind: kind, At: 2 * time.Second, Duration: 3 * time.Second, Magnitude: 8}
-	target, ok := faultTargets()[kind]
-	if target == "links" || kind == "unframed" {
-		f.Magnitude = 0.3
-	}
-	allowedRequests := map[string][]string{"stall": StallNames(), "flood": FloodNames(), "abandon": LeaveNames()}[kind]
-	f.Requests = map[string]string{"stall": "body", "flood": "ready", "abandon": "pipelined"}[kind]
-	if !ok {
-		return f, fmt.Errorf("fault %q: unknown kind; kinds are %s", text, strings.Join(FaultKinds(), ", "))
-	}
-	for part := range strings.SplitSeq(rest, ",") {
-		if part == "" {
-			continue
-		}
-		key, value, found := strings.Cut(part, "=")
-		var err error
-		switch {
-		case !found || value == "":
-			err = fmt.Errorf("want key=value, got %q", part)
-		case key == "box" && target == "boxes":
-			f.Server = value
-		case key == "site" && target == "boxes":
-			f.Site = value
-		case key == "node" && target == "node":
-			f.Node = value
-		case key == "from" && target == "links":
-			f.From = value
-		case key == "to" && target == "links":
-			f.To = value
-		case key == "with" && len(allowedRequests) > 0:
-			f.Requests = value
-		case key == "at":
-			f.At, err = parseFaultTime(value)
-		case key == "for":
-			f.Duration, err = parseFaultTime(value)
-		case key == "by":
-			f.Magnitude, err = strconv.ParseFloat(value, 64)
-			if err == nil && !(f.Magnitude > 0 && f.Magnitude <= 1000) {
-				err = fmt.Errorf("by is %s, allowed: above 0, up to 1000", value)
-			}
-		default:
-			err = fmt.Errorf("kind %s has no key %q", kind, key)
-		}
-		if err != nil {
-			return f, fmt.Errorf("fault %q: %w", text, err)
-		}
-	}
-	if target == "boxes" && (f.Server == "") == (f.Site == "") {
-		return f, fmt.Errorf("fault %q: set either box or site", text)
-	}
-	if target == "links" && kind != "late" && kind != "cut" && f.Magnitude > 1 {
-		return f, fmt.Errorf("fault %q: by is %v, allowed: 0 to 1", text, f.Magnitude)
-	}
-	if kind == "unframed" && f.Magnitude > 1 {
-		return f, fmt.Errorf("fault %q: by is %v, allowed: above 0, up to 1", text, f.Magnitude)
-	}
-	if len(allowedRequests) > 0 && !slices.Contains(allowedRequests, f.Requests) {
-		return f, fmt.Errorf("fault %q: with is %q, allowed: %s", text, f.Requests, strings.Join(allowedRequests, ", "))
-	}
-	if target == "node" && f.Node == "" {
-		return f, fmt.Errorf("fault %q: set node", text)
-	}
-	return f, nil
-}
-
-func parseFaultTime(text string) (time.Duration, error) {
-	d, err := time.ParseDuration(text)
-	if err == nil && (d < 0 || d > time.Hour) {
-		err = fmt.Errorf("duration %s, allowed: 0 to 1h", text)
-	}
-	return d, err
-}
-
 // serversOf returns the servers that a fault affects.
 func (f *Fleet) serversOf(fault *Fault) ([]*Server, error) {
 	if fault.Site != "" {
@@ -244,7 +168,7 @@
 		return nodes.Terminate(fault.Node)
 	case "stop":
 		return nodes.Pause(fault.Node)
-	case "stall", "flood", "abandon":
+	case "stall", "flood", "abandon": // see clientFaults
 		return nodes.SetClientFault(fault, true)
 	case "cut", "lose", "late", "twice", "damage":
 		return nodes.SetLinkFault(fault, true)
@@ -314,7 +238,7 @@
 		return nodes.Start(fault.Node)
 	case "stop":
 		return nodes.Resume(fault.Node)
-	case "stall", "flood", "abandon":
+	case "stall", "flood", "abandon": // see clientFaults
 		return nodes.SetClientFault(fault, false)
 	case "cut", "lose", "late", "twice", "damage":
 		return nodes.SetLinkFault(fault, false)
--- a/internal/rig/standin/floodingclients.go
+++ b/internal/rig/standin/floodingclients.go
@@ -41,20 +41,20 @@
 // FloodNames returns the names of what flooding clients may send, in alphabetical order.
 func FloodNames() []string { return slices.Sorted(maps.Keys(floodRequests())) }
 
-// StartFlooding starts clients of the node at an address that send small requests at full speed, one behind the other
+// startFlooding starts clients of the node at an address that send small requests at full speed, one behind the other
 // on one connection, and read what they are sent. A client whose connection the node ends connects again at once.
-func StartFlooding(plan *Plan, address string, count int, what string) (*ClientGroup, error) {
+func startFlooding(f *Fleet, _, address string, count int, what string) (*ClientGroup, error) {
 	request, ok := floodRequests()[what]
 	if !ok {
 		return nil, fmt.Errorf("unknown requests %q; known are %s", what, strings.Join(FloodNames(), ", "))
 	}
-	i := slices.IndexFunc(plan.Classes, func(c Class) bool { return c.Idempotency == judge.Idempotent })
+	i := slices.IndexFunc(f.Plan.Classes, func(c Class) bool { return c.Idempotency == judge.Idempotent })
 	if i < 0 {
 		return nil, fmt.Errorf("no class of the plan has requests without a body")
 	}
 	return startGroup(count, func(ctx context.Context, client int) {
 		repeatEvery(ctx, floodReconnectInterval, func(number int) {
-			floodOnce(ctx, address, &plan.Classes[i], request, fmt.Sprintf("flood-%d-%d", client, number))
+			floodOnce(ctx, address, &f.Plan.Classes[i], request, fmt.Sprintf("flood-%d-%d", client, number))
 		})
 	}), nil
 }
--- a/internal/rig/standin/leavingclients.go
+++ b/internal/rig/standin/leavingclients.go
@@ -38,8 +38,8 @@
 // LeaveNames returns the names of what leaving clients may do, in alphabetical order.
 func LeaveNames() []string { return slices.Sorted(maps.Keys(leavingRequests())) }
 
-// StartLeaving starts clients of a node that close their connections before they have all answers.
-func StartLeaving(f *Fleet, node, address string, count int, what string) (*ClientGroup, error) {
+// startLeaving starts clients of a node that close their connections before they have all answers.
+func startLeaving(f *Fleet, node, address string, count int, what string) (*ClientGroup, error) {
 	act, ok := leavingRequests()[what]
 	if !ok {
 		return nil, fmt.Errorf("unknown clients %q; known are %s", what, strings.Join(LeaveNames(), ", "))
--- a/internal/rig/standin/stallingclients.go
+++ b/internal/rig/standin/stallingclients.go
@@ -41,22 +41,22 @@
 // StallNames returns the names of what stalling clients may send, in alphabetical order.
 func StallNames() []string { return slices.Sorted(maps.Keys(stalledRequests())) }
 
-// StartStalling starts clients of the node at an address that send a part of a request and then wait. A client whose
+// startStalling starts clients of the node at an address that send a part of a request and then wait. A client whose
 // connection the node ends connects again and does the same. The requests are of the plan's first class that may
 // have a body.
-func StartStalling(plan *Plan, address string, count int, what string) (*ClientGroup, error) {
+func startStalling(f *Fleet, _, address string, count int, what string) (*ClientGroup, error) {
 	request, ok := stalledRequests()[what]
 	if !ok {
 		return nil, fmt.Errorf("unknown requests %q; known are %s", what, strings.Join(StallNames(), ", "))
 	}
-	i := slices.IndexFunc(plan.Classes, func(c Class) bool { return c.Idempotency != judge.Idempotent })
+	i := slices.IndexFunc(f.Plan.Classes, func(c Class) bool { return c.Idempotency != judge.Idempotent })
 	if i < 0 {
 		return nil, fmt.Errorf("no class of the plan has requests with a body")
 	}
 	rest := request.rest()
 	return startGroup(count, func(ctx context.Context, client int) {
 		repeatEvery(ctx, reconnectInterval, func(number int) {
-			head := stalledHead(&plan.Classes[i], fmt.Sprintf("stall-%d-%d", client, number))
+			head := stalledHead(&f.Plan.Classes[i], fmt.Sprintf("stall-%d-%d", client, number))
 			request.sendOnce(ctx, address, append([]byte(head), rest...))
 		})
 	}), nil
