Keep the dead addresses of tests bound, so that no other test listens there

Cause: nothing but the test's three clients knows the address of its listener, and the server dials nobody, so the fourth connection came from another process. Tests of the node, which run beside it, have their nodes ask discovery at an address of 127.0.0.1 that was bound and closed a moment before; the system may give its port to any listener after that. That this dial was it is by elimination, not seen.

Change: DeadAddress keeps its socket bound, without listening, to the end of the test, so that connections are refused and the port is not given away. ReserveAddress lets a test listen there later. No check is changed.

Measured: the tests of internal/node and its packages pass.

--- a/internal/node/addresses_test.go
+++ b/internal/node/addresses_test.go
@@ -126,13 +126,13 @@
 	t.Parallel()
 	fail := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }
 	peer := NewServer(t, fail)
-	address := DeadAddress(t)
+	reserved := ReserveAddress(t)
 	n := startNode(t, testConfig(t, DeadAddress(t), listOf(1, true,
-		cellEntry("old", address, 1, "SERVING", 0), cellEntry("peer", peer.Addr(), 1, "SERVING", 0)), 1024))
+		cellEntry("old", reserved.Address, 1, "SERVING", 0), cellEntry("peer", peer.Addr(), 1, "SERVING", 0)), 1024))
 	for range 10 { // some of them find out that nobody listens
 		exchange(t, request(t, n.url, "/note/1", "x"))
 	}
-	next := NewServerAt(t, address, fail)
+	next := NewServerOn(t, reserved.Listen(t), fail)
 	WaitFor(t, "the next process gets a request", func() bool {
 		exchange(t, request(t, n.url, "/note/1", "x"))
 		return next.RequestCount() > 3
--- a/internal/node/nodetest/nodetest.go
+++ b/internal/node/nodetest/nodetest.go
@@ -11,8 +11,11 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -45,16 +48,16 @@
 // NewServer starts a server until the end of the test.
 func NewServer(t *testing.T, handler http.HandlerFunc) *Server {
 	t.Helper()
-	return NewServerAt(t, "127.0.0.1:0", handler)
-}
-
-// NewServerAt is NewServer at an address.
-func NewServerAt(t *testing.T, address string, handler http.HandlerFunc) *Server {
-	t.Helper()
-	listener, err := net.Listen("tcp", address)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	return NewServerOn(t, l, handler)
+}
+
+// NewServerOn is NewServer with a listener.
+func NewServerOn(t *testing.T, l net.Listener, handler http.HandlerFunc) *Server {
+	t.Helper()
 	s := &Server{}
 	s.Server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
@@ -64,7 +67,7 @@
 		handler(w, r)
 	}))
 	s.Listener.Close()
-	s.Listener = listener
+	s.Listener = l
 	s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
 		s.Mu.Lock()
 		defer s.Mu.Unlock()
@@ -194,15 +197,51 @@
 	return fmt.Sprintf(`{"generation":%d,"reset":%v,"instances":[%s]}`, generation, whole, strings.Join(items, ","))
 }
 
-// DeadAddress returns an address that refuses connections.
+// DeadAddress returns an address at which nobody listens, until the end of the test.
 func DeadAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return ReserveAddress(t).Address
+}
+
+// ReservedAddress is an address of this test alone, at which connections are refused until Listen. An address that is
+// merely free may be given to a listener of another test.
+type ReservedAddress struct {
+	Address string
+	file    *os.File // a socket that is bound to it
+}
+
+// ReserveAddress reserves an address until the end of the test.
+func ReserveAddress(t *testing.T) *ReservedAddress {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	syscall.CloseOnExec(fd)
+	file := os.NewFile(uintptr(fd), "reserved address")
+	t.Cleanup(func() { file.Close() })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	bound, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	port := bound.(*syscall.SockaddrInet4).Port
+	return &ReservedAddress{Address: net.JoinHostPort("127.0.0.1", strconv.Itoa(port)), file: file}
+}
+
+// Listen begins to listen at the address.
+func (a *ReservedAddress) Listen(t *testing.T) net.Listener {
+	t.Helper()
+	if err := syscall.Listen(int(a.file.Fd()), syscall.SOMAXCONN); err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.FileListener(a.file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
 }
 
 // NewRequestID returns a unique id for a request.
