--- a/review/_standin2/fleet.go
+++ b/review/_standin2/fleet.go
@@ -69,6 +69,7 @@
 
 	cores, most int    // most: requests that it holds at once, in work and waiting
 	unsafe      string // class whose requests have an effect each time that they run
+	alike       string // class whose requests are all answered "accepted"
 	work        func(r *http.Request) time.Duration
 	// again returns how late the answer of a status comes a second time; 0: it does not.
 	again func(status int) time.Duration
@@ -181,6 +182,9 @@
 		s.effects.happened(id, s.id)
 	}
 	time.Sleep(s.work(r))
+	if s.alike != "" && strings.HasPrefix(r.URL.Path, "/"+s.alike+"/") {
+		return http.StatusOK, "accepted\n"
+	}
 	return http.StatusOK, s.id + " " + id + "\n"
 }
 
--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -18,9 +18,6 @@
 var cases = map[string]func(trouble bool, dir string, rec *record) (verdict, error){}
 
 func main() {
-	if len(os.Args) == 4 && os.Args[1] == "work" {
-		os.Exit(work(os.Args[2], os.Args[3]))
-	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin2 CASE FOLDER")
 		os.Exit(2)
--- a/review/_standin2/platform.go
+++ b/review/_standin2/platform.go
@@ -187,7 +187,6 @@
 	Name, Listen, Discovery string
 	Known                   listAnswer
 	Settings                map[string]any
-	Flags                   string
 }
 
 func startNode(c nodeConfig, dir string, rec *record) (*nodeProcess, error) {
@@ -213,9 +212,6 @@
 		return nil, err
 	}
 	defer log.Close()
-	if c.Flags != "" {
-		run += " " + c.Flags
-	}
 	cmd := exec.Command("/bin/sh", "-c", run)
 	cmd.Dir, cmd.Stdout, cmd.Stderr = root, log, log
 	cmd.Env = append(os.Environ(), "LB_NAME="+c.Name, "LB_LISTEN="+c.Listen, "LB_DISCOVERY="+c.Discovery, "LB_CONFIG="+path, "TMPDIR="+dir)
--- a/review/_standin2/second_answers.go
+++ b/review/_standin2/second_answers.go
@@ -8,11 +8,13 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
 func init() {
 	cases["turned-away-twice"] = turnedAwayTwice
+	cases["alike"] = alike
 	cases["same-subject"] = sameSubject
 }
 
@@ -70,7 +72,11 @@
 	breaks []string
 }
 
-func (f *foreign) check(id string, a answer) {
+// check expects the server's name and the request's id in an answer.
+func (f *foreign) check(id string, a answer) { f.checkBody(id, "", a) }
+
+// checkBody expects the text that servers make for such a request, if it is the same for all.
+func (f *foreign) checkBody(id, made string, a answer) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.asked++
@@ -78,7 +84,7 @@
 		return
 	}
 	f.served++
-	if !strings.Contains(a.body, id) {
+	if made == "" && !strings.Contains(a.body, id) || made != "" && a.body != made {
 		f.breaks = append(f.breaks, fmt.Sprintf("request %s was served with %q", id, shorten(a.body)))
 	}
 }
@@ -89,17 +95,22 @@
 	{"stoerung", 2 * time.Second, 6 * time.Second, 1, "once", "all", 5 * time.Second},
 }
 
-// turnedAwayTwice plays twoBursts before two fleets that have nothing to do with each other, which shows in one run what
-// one of them shows in two.
+// turnedAwayTwice plays twoBursts.
 func turnedAwayTwice(trouble bool, dir string, rec *record) (verdict, error) {
 	classes = unsafeClasses
+	return twoFleets(trouble, dir, rec, twoBursts)
+}
+
+// twoFleets plays the same before two fleets that have nothing to do with each other, which shows in one run what one of
+// them shows in two.
+func twoFleets(trouble bool, dir string, rec *record, start func(bool, string, *record) (func() verdict, func(), error)) (verdict, error) {
 	var plays []func() verdict
 	for i := range 2 {
 		folder := filepath.Join(dir, fmt.Sprint("fleet-", i))
 		if err := os.Mkdir(folder, 0o700); err != nil {
 			return verdict{}, err
 		}
-		play, end, err := twoBursts(trouble, folder, rec)
+		play, end, err := start(trouble, folder, rec)
 		if err != nil {
 			return verdict{}, err
 		}
@@ -191,6 +202,59 @@
 	return poolOf[n.address]
 }
 
+// alike plays likeAnswers.
+func alike(trouble bool, dir string, rec *record) (verdict, error) {
+	return twoFleets(trouble, dir, rec, likeAnswers)
+}
+
+// likeAnswers: a ticket is answered "accepted", whoever opens it; after a quiet time some answers come a second time,
+// some milliseconds late.
+func likeAnswers(trouble bool, dir string, rec *record) (play func() verdict, end func(), err error) {
+	var spoilt atomic.Bool
+	_, _, nodes, _, err := smallFleet(4, 2, dir, rec, func(s *server) {
+		s.work = func(*http.Request) time.Duration { return time.Duration(20+rand.IntN(40)) * time.Millisecond }
+		s.alike, s.cores, s.most = "stoerung", 6, 20
+		s.again = func(int) time.Duration {
+			if !trouble || !spoilt.Load() || rand.IntN(100) >= 20 {
+				return 0
+			}
+			return time.Duration(20+rand.IntN(30)) * time.Millisecond
+		}
+	})
+	if err != nil {
+		return nil, nil, err
+	}
+	end = func() {
+		for _, n := range nodes {
+			n.kill()
+		}
+	}
+	var f foreign
+	ask := func(length time.Duration) {
+		every(250, time.Now().Add(length), func() {
+			c := classes[0]
+			switch share := rand.Float64(); {
+			case share < 0.32:
+				c = classes[2]
+			case share < 0.84:
+				c = classes[1]
+			}
+			id, key, body, made := newID(), "", "", ""
+			if c.semantics == "by_key" {
+				key, body, made = newID()+newID(), "fault of "+id, "accepted\n"
+			}
+			f.checkBody(id, made, pools(nodes, rec).ask(c, "/"+c.name+"/"+newID(), key, id, body, c.deadline))
+		})
+	}
+	play = func() verdict {
+		ask(10 * time.Second)
+		spoilt.Store(true)
+		ask(5 * time.Second)
+		return verdict{note: fmt.Sprintf("asked %d, served %d", f.asked, f.served), breaks: f.breaks}
+	}
+	return play, end, nil
+}
+
 // sameSubject: the desk asks for the state of a unit again and again, and some answers come a second time, some
 // milliseconds late.
 func sameSubject(trouble bool, dir string, rec *record) (verdict, error) {
