--- a/review/_standin2/second_answers.go
+++ b/review/_standin2/second_answers.go
@@ -98,14 +98,14 @@
 // turnedAwayTwice plays twoBursts.
 func turnedAwayTwice(trouble bool, dir string, rec *record) (verdict, error) {
 	classes = unsafeClasses
-	return twoFleets(trouble, dir, rec, twoBursts)
+	return sideBySide(4, trouble, dir, rec, twoBursts)
 }
 
-// twoFleets plays the same before two fleets that have nothing to do with each other, which shows in one run what one of
-// them shows in two.
-func twoFleets(trouble bool, dir string, rec *record, start func(bool, string, *record) (func() verdict, func(), error)) (verdict, error) {
+// sideBySide plays the same before some fleets that have nothing to do with each other, which shows in one run what one
+// of them shows in several.
+func sideBySide(fleets int, trouble bool, dir string, rec *record, start func(bool, string, *record) (func() verdict, func(), error)) (verdict, error) {
 	var plays []func() verdict
-	for i := range 2 {
+	for i := range fleets {
 		folder := filepath.Join(dir, fmt.Sprint("fleet-", i))
 		if err := os.Mkdir(folder, 0o700); err != nil {
 			return verdict{}, err
@@ -204,7 +204,7 @@
 
 // alike plays likeAnswers.
 func alike(trouble bool, dir string, rec *record) (verdict, error) {
-	return twoFleets(trouble, dir, rec, likeAnswers)
+	return sideBySide(2, trouble, dir, rec, likeAnswers)
 }
 
 // likeAnswers: a ticket is answered "accepted", whoever opens it; after a quiet time some answers come a second time,
